--- a/cmd/currantpulleyd/main.go
+++ b/cmd/currantpulleyd/main.go
@@ -1,4 +1,5 @@
-// Command currantpulleyd is the router's daemon.
+// Command currantpulleyd is the router's daemon. With "platform" as its first
+// argument it runs on the users' platform and takes its settings from there.
 package main
 
 import (
@@ -6,11 +7,19 @@
 	"os"
 
 	"currantpulley/internal/daemon/run"
+	"currantpulley/platform"
 )
 
 func main() {
-	if err := run.Main(os.Args[1:]); err != nil {
+	if err := start(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "currantpulleyd:", err)
 		os.Exit(1)
 	}
 }
+
+func start(args []string) error {
+	if len(args) == 1 && args[0] == "platform" {
+		return platform.Main()
+	}
+	return run.Main(args)
+}
--- /dev/null
+++ b/internal/balance/work.go
@@ -0,0 +1,88 @@
+// Package balance picks the upstream for a request out of the replicas of a
+// service. A prompt goes to the engine that its shared parts belong to by
+// rendezvous hashing, the same at every daemon, unless another one would begin
+// to answer sooner; a plain call goes to the replica with the least work.
+//
+// The decisions do no I/O and read no clock.
+package balance
+
+import (
+	"time"
+
+	"currantpulley/internal/catalog"
+)
+
+// Part is one part of a prompt. Requests that share leading parts share the
+// cache entries made of them.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt is what a request asks of a model.
+type Prompt struct {
+	Model  string
+	Tokens int // of the prompt
+	Output int // tokens expected in the answer
+	Parts  []Part
+}
+
+// group returns the part by which requests are grouped: the last one that
+// other requests have too. The very last part is the request's own.
+func (p *Prompt) group() string {
+	switch n := len(p.Parts); n {
+	case 0:
+		return ""
+	case 1:
+		return p.Parts[0].ID
+	default:
+		return p.Parts[n-2].ID
+	}
+}
+
+// shared returns the tokens of the group's part, and of all parts before it.
+func (p *Prompt) shared() (group, before int) {
+	for i, part := range p.Parts {
+		switch {
+		case i < len(p.Parts)-2:
+			before += part.Tokens
+		case i == len(p.Parts)-2:
+			group = part.Tokens
+		}
+	}
+	return group, before
+}
+
+// Work is a request as the balancer sees it.
+type Work struct {
+	Service string
+	Prompt  *Prompt // nil: a plain call
+	Tried   []catalog.Key
+}
+
+func (w *Work) tried(k catalog.Key) bool {
+	for _, t := range w.Tried {
+		if t == k {
+			return true
+		}
+	}
+	return false
+}
+
+// Load is what an upstream says of its load in an answer.
+type Load struct {
+	Running  int
+	Waiting  int
+	Slots    int
+	Slowdown float64 // time that work takes, over the usual; 0: not said
+}
+
+// Pick is an upstream that was chosen for an attempt. It is told of the
+// attempt's progress until Done.
+type Pick struct {
+	Upstream *catalog.Upstream
+	Version  uint64        // weights version to expect; 0: any
+	Wait     time.Duration // expected until the first byte
+	tokens   int           // of the prompt, that are not computed yet
+	state    *state
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,176 @@
+// Package catalog holds what providers say of the outside world: routes,
+// services, workspaces, upstreams and the weights versions that are wanted.
+// A Watcher gathers it into immutable snapshots that requests read.
+package catalog
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind tells how often a request of a route may run.
+type Kind uint8
+
+// Kinds of routes.
+const (
+	Once       Kind = iota // at most once for each attempt of a caller
+	Idempotent             // may run again after a failure
+	Stream                 // a stream of events; runs once unless the route is resumable
+)
+
+// String returns the kind's name.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Stream:
+		return "stream"
+	}
+	return "once"
+}
+
+// Route sends the requests of a host below a path prefix to services.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Kind        Kind
+	Resumable   bool // a broken stream may go on at another upstream
+	Public      bool // needs no key
+	Prompted    bool // requests carry a prompt for a model
+	Timeout     time.Duration
+	Objective   time.Duration // within which an answer, or a stream's first event, is on time
+	PauseMax    time.Duration // between two events of a stream that is on time
+	MaxAttempts int           // upstreams that may run one request
+	Rank        int           // 0 is the most urgent
+	Shares      []Share
+}
+
+// MayRepeat reports whether a request may run again after an upstream that
+// may have run it failed.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Idempotent || (r.Kind == Stream && r.Resumable)
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Service is a group of upstreams that are alike.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int         // to one upstream, from all daemons
+	Engine         *Engine     // nil: a plain service
+	Store          *CacheStore // nil: not a store of cache entries
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots       int
+	CacheTokens int // tokens that the memory of one engine holds
+	TokenBytes  int // of memory
+	Models      []string
+}
+
+// CacheStore is a store that engines fetch cache entries from.
+type CacheStore struct {
+	Address    string
+	DataCentre string
+}
+
+// Workspace is a customer.
+type Workspace struct {
+	Name     string
+	Rank     int // goes before the route's; RankUnset: the route's holds
+	Isolated bool
+}
+
+// RankUnset is the rank of a workspace that has none.
+const RankUnset = -1
+
+// Limits bounds what callers may send.
+type Limits struct {
+	MaxHeader     int64 // bytes
+	MaxBody       int64 // bytes
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the operators' configuration. It is immutable.
+type Config struct {
+	Version    uint64
+	Routes     map[string][]*Route // by host, longest prefix first
+	Services   map[string]*Service
+	Workspaces map[string]*Workspace // by key
+	NeedsKey   bool                  // routes that are not public need a key
+	Limits     Limits
+}
+
+// AddRoute adds a route in its place.
+func (c *Config) AddRoute(r *Route) {
+	list := append(c.Routes[r.Host], r)
+	slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	c.Routes[r.Host] = list
+}
+
+// Match returns the route of host with the longest prefix of path, nil if
+// there is none.
+func (c *Config) Match(host, path string) *Route {
+	for _, r := range c.Routes[host] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// PickService returns the service for a request whose id hashes to hash.
+func (r *Route) PickService(hash uint64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return ""
+	}
+	at := int(hash % uint64(total))
+	for _, s := range r.Shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
+
+// Upstream is one running replica of a service. A replica that starts again
+// is another upstream, also under the same id.
+type Upstream struct {
+	ID         string
+	Started    int64 // Unix milliseconds
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Leaving    bool
+	Weights    map[string]uint64 // version served, by model
+}
+
+// Key identifies an upstream together with its start.
+type Key struct {
+	ID      string
+	Started int64
+}
+
+// Key returns the upstream's identity.
+func (u *Upstream) Key() Key { return Key{u.ID, u.Started} }
+
+// Wanted is the newest weights version that was named for a model.
+type Wanted struct {
+	Version uint64
+	Since   time.Time // when this daemon learned of it
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,7 +55,7 @@
 
 // Catalogue returns all definitions, sorted by number.
 func Catalogue() []Definition {
-	all := slices.Concat(processEvents, requestEvents, decisionEvents, configurationEvents, membershipEvents, callEvents)
+	all := slices.Concat(processEvents, requestEvents, decisionEvents, configurationEvents, membershipEvents, callEvents, providerEvents)
 	slices.SortFunc(all, func(a, b Definition) int { return int(a.ID - b.ID) })
 	return all
 }
--- /dev/null
+++ b/internal/event/provider.go
@@ -0,0 +1,20 @@
+package event
+
+// Events of the providers of configuration and upstreams: 7000 to 7999.
+const (
+	ProviderLost         ID = 7001
+	ProviderRegained     ID = 7002
+	ProviderRecordBad    ID = 7003
+	ProviderConfigTaken  ID = 7004
+	ProviderWeightsNamed ID = 7005
+	ProviderUpstream     ID = 7006
+)
+
+var providerEvents = []Definition{
+	{ProviderLost, "provider_lost", Warn, "A provider does not answer; what it told before holds, and keys are accepted until the proof of their freshness is too old."},
+	{ProviderRegained, "provider_regained", Info, "A provider answers again."},
+	{ProviderRecordBad, "provider_record_bad", Warn, "A provider's record can't be read and is left out; detail has its topic and offset."},
+	{ProviderConfigTaken, "provider_config_taken", Info, "A provider's configuration is in force at this daemon."},
+	{ProviderWeightsNamed, "provider_weights_named", Info, "Operators named a weights version; detail has the model."},
+	{ProviderUpstream, "provider_upstream", Info, "A provider added, changed or removed an upstream; detail has its state and address."},
+}
--- /dev/null
+++ b/internal/freshness/freshness.go
@@ -0,0 +1,56 @@
+// Package freshness keeps how long ago the configuration was last proved to be
+// the newest. A key that was taken away must not be accepted for longer than a
+// bound, also by a VM that was cut off or suspended, so ages are measured on a
+// clock that goes on while the VM is suspended.
+package freshness
+
+import (
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Instant is a reading of the clock that counts time in suspend.
+type Instant int64 // nanoseconds since the VM's boot
+
+// Add returns the instant d later.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Sub returns the time from j to i.
+func (i Instant) Sub(j Instant) time.Duration { return time.Duration(i - j) }
+
+// Now reads the clock.
+func Now() Instant {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic("CLOCK_BOOTTIME is not available: " + err.Error())
+	}
+	return Instant(t.Nano())
+}
+
+// Proof is the latest instant up to which the configuration is known to be the
+// newest. The zero value proves nothing. It is safe for concurrent use.
+type Proof struct{ at atomic.Int64 }
+
+// Extend moves the proof up to at. An earlier instant changes nothing.
+func (p *Proof) Extend(at Instant) {
+	for {
+		old := p.at.Load()
+		if int64(at) <= old || p.at.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// Within reports whether the proof is at most age old at now.
+func (p *Proof) Within(age time.Duration, now Instant) bool {
+	at := p.at.Load()
+	return at != 0 && now.Sub(Instant(at)) <= age
+}
+
+// Age returns the proof's age at now, and false when there is none.
+func (p *Proof) Age(now Instant) (time.Duration, bool) {
+	at := p.at.Load()
+	return now.Sub(Instant(at)), at != 0
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"currantpulley/internal/balance"
+	"currantpulley/internal/catalog"
+	"currantpulley/internal/event"
+	"currantpulley/internal/freshness"
+	"currantpulley/internal/refusal"
+	"currantpulley/internal/rendezvous"
+	"currantpulley/internal/retry"
+	"currantpulley/internal/server"
+)
+
+// Options of a Gateway.
+type Options struct {
+	Dialect   Dialect
+	Watcher   *catalog.Watcher
+	Balancer  *balance.Balancer
+	Transport http.RoundTripper
+	Retries   *retry.Window
+	Recorder  event.Recorder
+	Proof     *freshness.Proof // that the configuration is the newest
+	ProofMax  time.Duration    // age of the proof up to which keys are accepted
+}
+
+// Gateway is the handler of callers' requests.
+type Gateway struct {
+	opts     Options
+	draining atomic.Bool
+}
+
+// New returns a gateway.
+func New(o Options) *Gateway { return &Gateway{opts: o} }
+
+// Drain makes each further answer the last one of its connection.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Ready reports whether the balancer should send callers here.
+func (g *Gateway) Ready() bool {
+	return !g.draining.Load() && g.opts.Watcher.Load().Config != nil && g.fresh()
+}
+
+// fresh reports whether the configuration is still proved to be the newest.
+func (g *Gateway) fresh() bool { return g.opts.Proof.Within(g.opts.ProofMax, freshness.Now()) }
+
+// request is one caller's request on its way.
+type request struct {
+	Call
+	ctx       context.Context // ends with the caller or the deadline
+	caller    context.Context // ends with the caller
+	w         *server.Writer
+	r         *http.Request
+	body      []byte
+	arrived   time.Time
+	deadline  time.Time
+	snap      *catalog.Snapshot
+	route     *catalog.Route
+	service   *catalog.Service
+	workspace *catalog.Workspace // nil on a public route without a key
+	answered  bool               // a status line went to the caller
+
+	tried []catalog.Key
+	sends int // that may have reached an upstream
+	runs  int // of these, that may have run
+}
+
+// Errors that end a request without an answer of ours.
+var (
+	errCallerGone = errors.New("the caller went away")
+	errBroken     = errors.New("the answer broke off after its beginning was relayed")
+)
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	sw, ok := w.(*server.Writer)
+	if !ok {
+		http.Error(w, "unexpected kind of connection", http.StatusInternalServerError)
+		return
+	}
+	q := &request{caller: r.Context(), w: sw, r: r, arrived: time.Now()}
+	if g.draining.Load() {
+		sw.CloseAfter()
+	}
+	err := g.serve(q)
+	if err != nil {
+		g.finish(q, err)
+	}
+}
+
+// serve checks, sends and relays a request.
+func (g *Gateway) serve(q *request) error {
+	if err := g.accept(q); err != nil {
+		return err
+	}
+	var cancel context.CancelFunc
+	q.ctx, cancel = context.WithDeadline(q.caller, q.deadline)
+	defer cancel()
+	body, err := io.ReadAll(q.r.Body)
+	if err != nil {
+		return refusal.New(refusal.BadRequest, "the body could not be read").Because(err)
+	}
+	q.body = body
+	g.opts.Retries.Request()
+	return g.attempts(q)
+}
+
+// noConfigRetry is when a caller should come back to a daemon that is starting.
+const noConfigRetry = 300 * time.Millisecond
+
+// accept finds the request's route and workspace.
+func (g *Gateway) accept(q *request) error {
+	q.snap = g.opts.Watcher.Load()
+	if q.snap.Config == nil {
+		return refusal.New(refusal.NoConfiguration, "no configuration is in force here yet").After(noConfigRetry)
+	}
+	call, err := g.opts.Dialect.Call(q.r.Header)
+	if err != nil {
+		return refusal.New(refusal.BadRequest, "%v", err)
+	}
+	q.Call = call
+	config := q.snap.Config
+	q.route = config.Match(hostOf(q.r), q.r.URL.Path)
+	if q.route == nil {
+		return g.unlessStale(refusal.New(refusal.NoRoute, "no route matches the host and path"))
+	}
+	if err := g.identify(q); err != nil {
+		return err
+	}
+	q.service = config.Services[q.route.PickService(rendezvous.Hash(q.ID))]
+	if q.service == nil {
+		return refusal.New(refusal.NoUpstream, "the route's service is not configured").After(noConfigRetry)
+	}
+	q.deadline = q.arrived.Add(q.route.Timeout)
+	if q.Budget > 0 && (q.route.Timeout == 0 || q.Budget < q.route.Timeout) {
+		q.deadline = q.arrived.Add(q.Budget)
+	}
+	return nil
+}
+
+// identify finds the workspace that the request's key belongs to.
+func (g *Gateway) identify(q *request) error {
+	config := q.snap.Config
+	if q.Key != "" {
+		q.workspace = config.Workspaces[q.Key]
+	}
+	if q.route.Public || !config.NeedsKey {
+		return nil
+	}
+	if q.workspace == nil {
+		return g.unlessStale(refusal.New(refusal.Unauthorised, "the key is not known"))
+	}
+	return g.keysProved()
+}
+
+// staleRetry is when a caller whose key could not be checked should come back,
+// by way of another daemon.
+const staleRetry = 200 * time.Millisecond
+
+// keysProved refuses requests with a key while keys may have been taken away
+// that are still known here.
+func (g *Gateway) keysProved() error {
+	if g.fresh() {
+		return nil
+	}
+	return refusal.New(refusal.Detached, "this router can't tell whether its keys are still valid").After(staleRetry)
+}
+
+// unlessStale returns err, or that the daemon can't tell when a newer
+// configuration may say otherwise.
+func (g *Gateway) unlessStale(err error) error {
+	if stale := g.keysProved(); stale != nil {
+		return stale
+	}
+	return err
+}
+
+func hostOf(r *http.Request) string {
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// finish answers a request that failed, and records why.
+func (g *Gateway) finish(q *request, err error) {
+	e := event.Event{Request: q.ID, Step: "gateway", Err: err}
+	if q.snap != nil && q.snap.Config != nil {
+		e.Version = q.snap.Config.Version
+	}
+	if q.workspace != nil {
+		e.Workspace = q.workspace.Name
+	}
+	switch {
+	case q.caller.Err() != nil || errors.Is(err, errCallerGone):
+		e.ID = event.RequestCancelled
+		q.w.Abort()
+	case q.answered:
+		e.ID = event.StreamBroken
+		q.w.Abort()
+	default:
+		e.ID = event.RequestRefused
+		r := refusal.From(err)
+		e.Detail = string(r.Code) + " " + string(r.Effect)
+		refuse(q.w, r)
+	}
+	g.opts.Recorder.Record(e)
+}
+
+// jitter spreads the returns of refused callers over the half after d.
+func jitter(d time.Duration) time.Duration {
+	return d + rand.N(d/2+1)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -111,6 +111,9 @@
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
+// StopAccepting closes the listener. Open connections go on.
+func (s *Server) StopAccepting() { _ = s.listener.Close() }
+
 // Close stops the listener and closes every connection, also those with
 // requests in progress.
 func (s *Server) Close() {
@@ -171,5 +174,5 @@
 	defer cancel()
 	c.startWatch(cancel)
 	defer c.stopWatch()
-	s.opts.Handler.ServeHTTP(&Writer{res: res, conn: c, timeout: s.opts.Limits().WriteTimeout}, r.WithContext(ctx))
+	s.opts.Handler.ServeHTTP(&Writer{res: res, request: r, conn: c, timeout: s.opts.Limits().WriteTimeout}, r.WithContext(ctx))
 }
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -16,6 +16,7 @@
 // kernel has taken the data, so that a slow caller slows its own answer only.
 type Writer struct {
 	res     *nbhttp.Response
+	request *http.Request // whose Close field nbhttp reads after the handler
 	conn    *conn
 	timeout time.Duration
 }
@@ -58,3 +59,10 @@
 // Abort closes the connection, so that a caller in the middle of an answer
 // sees that it is not whole.
 func (w *Writer) Abort() { _ = w.conn.tcp.Close() }
+
+// CloseAfter tells the caller that this answer is the connection's last one.
+// Call it before WriteHeader.
+func (w *Writer) CloseAfter() {
+	w.Header().Set("Connection", "close")
+	w.request.Close = true
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,12 +32,32 @@
 	Platform    Platform `toml:"platform"`
 	TLS         TLS      `toml:"tls"`
 	Drain       Drain    `toml:"drain"`
+	Limits      Limits   `toml:"limits"`
+	Bounds      Bounds   `toml:"bounds"`
+}
+
+// Limits of the process on its VM. A zero is no limit.
+type Limits struct {
+	MemoryMB int `toml:"memory_mb"`
+}
+
+// Bounds are the times and shares that an installation promises its users.
+// They are needed where configuration and upstreams come from a platform's store.
+type Bounds struct {
+	KeyRevocation config.Duration `toml:"key_revocation"` // from taking a key away until it is refused everywhere
+	StopGrace     config.Duration `toml:"stop_grace"`     // from the signal to stop until the process is killed
+	Lease         config.Duration `toml:"lease"`          // of the VM that gives orders to upstreams
+	Weights       config.Duration `toml:"weights"`        // from naming a weights version until no request begins on an older one
+	RetryRatio    float64         `toml:"retry_ratio"`    // repeated attempts for each request, over all daemons
+	RetryExtra    float64         `toml:"retry_extra"`    // further repeated attempts in a window, over all daemons
+	RetryWindow   config.Duration `toml:"retry_window"`
 }
 
 // Platform says where the platform's services are.
 type Platform struct {
 	Log    string `toml:"log"`     // URL
 	VMList string `toml:"vm_list"` // URL
+	Store  string `toml:"store"`   // host:port; used instead of log and vm_list
 	Seeds  []Seed `toml:"seeds"`   // other daemons, used when the list does not answer
 }
 
@@ -130,6 +150,9 @@
 			bad(key, "%q is not a URL such as http://127.0.0.1:7000", v)
 		}
 	}
+	if s.Platform.Store != "" {
+		s.checkBounds(bad)
+	}
 	if (s.TLS.Cert == "") != (s.TLS.Key == "") {
 		bad("tls.cert", "cert and key go together")
 	}
@@ -142,3 +165,22 @@
 	}
 	return errors.Join(all...)
 }
+
+// checkBounds reports the bounds that are missing.
+func (s *Settings) checkBounds(bad func(key, format string, args ...any)) {
+	if _, _, err := net.SplitHostPort(s.Platform.Store); err != nil {
+		bad("platform.store", "%q is not host:port", s.Platform.Store)
+	}
+	b := s.Bounds
+	for key, d := range map[string]config.Duration{
+		"bounds.key_revocation": b.KeyRevocation, "bounds.stop_grace": b.StopGrace, "bounds.lease": b.Lease,
+		"bounds.weights": b.Weights, "bounds.retry_window": b.RetryWindow,
+	} {
+		if d <= 0 {
+			bad(key, "is missing, expected a duration such as \"5s\"")
+		}
+	}
+	if b.RetryRatio < 0 || b.RetryExtra < 0 {
+		bad("bounds.retry_ratio", "retry_ratio and retry_extra must not be negative")
+	}
+}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -1,18 +1,28 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"currantpulley/internal/snapshot"
 )
 
 const (
-	dialTimeout     = time.Second
+	dialTimeout = 500 * time.Millisecond
+	// unackedTimeout ends a connection whose peer acknowledges nothing, as
+	// when it lost power; without it the kernel tries for a quarter of an hour.
+	unackedTimeout  = 1500 * time.Millisecond
+	probeIdle       = time.Second // without traffic, before the kernel asks whether the peer is there
+	probeInterval   = 500 * time.Millisecond
+	probeCount      = 2
 	idlePerUpstream = 64
 	idleConnTimeout = 30 * time.Second
 	maxHeaderBytes  = 64 << 10
@@ -22,8 +32,15 @@
 // opened on demand and closed when idle. nbhttp's client hands over an answer
 // only when it is whole and so can't relay streams; the standard library's can.
 func NewTransport() *http.Transport {
+	dialer := &net.Dialer{
+		Timeout: dialTimeout,
+		Control: setUnackedTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+	}
 	return &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:            dialer.DialContext,
 		MaxIdleConnsPerHost:    idlePerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -31,6 +48,14 @@
 	}
 }
 
+func setUnackedTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
 // NewOnceTransport returns the transport for calls that run at most once. The
 // standard library sends a request with an Idempotency-Key again when a
 // reused connection breaks; without reuse it never does.
@@ -47,14 +72,24 @@
 	}
 }
 
-// send sends req and returns the head of its answer.
-func send(c *http.Client, req *http.Request) (*Answer, error) {
+// RoundTrip sends req over t. Its error is a *SendError, which tells whether a
+// byte of the request may have left.
+func RoundTrip(t http.RoundTripper, req *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	res, err := c.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace))) //nolint:bodyclose // closed by Answer.Close
+	res, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, &SendError{Sent: connected.Load(), Err: err}
 	}
+	return res, nil
+}
+
+// send sends req and returns the head of its answer.
+func send(c *http.Client, req *http.Request) (*Answer, error) {
+	res, err := RoundTrip(roundTripper(c.Do), req) //nolint:bodyclose // closed by Answer.Close
+	if err != nil {
+		return nil, err
+	}
 	return &Answer{
 		Status:      res.StatusCode,
 		Header:      res.Header,
@@ -75,3 +110,9 @@
 	}
 	return &l
 }
+
+// roundTripper turns a client's Do into an http.RoundTripper.
+type roundTripper func(*http.Request) (*http.Response, error)
+
+// RoundTrip implements http.RoundTripper.
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
