Order engines to named weights by a lease of the store's group

Cause: without loads every request on older weights loses its credit, and the rule on versions breaks 8 s after the first name. Conclusion: runs have to be led away before an order; that needs the daemons to tell one another.

--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -92,3 +92,11 @@
 		}
 	}
 }
+
+// Load returns the estimated requests in u, those of other daemons included.
+func (b *Balancer) Load(u *catalog.Upstream, now time.Time) float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(u.Key(), now)
+	return float64(s.inFlight) + s.othersAt(now)
+}
--- a/internal/event/provider.go
+++ b/internal/event/provider.go
@@ -1,6 +1,7 @@
 package event
 
-// Events of the providers of configuration and upstreams: 7000 to 7999.
+// Events of the providers of configuration and upstreams, and of orders to the
+// engines that they name: 7000 to 7999.
 const (
 	ProviderLost         ID = 7001
 	ProviderRegained     ID = 7002
@@ -8,6 +9,10 @@
 	ProviderConfigTaken  ID = 7004
 	ProviderWeightsNamed ID = 7005
 	ProviderUpstream     ID = 7006
+	OrderGiven           ID = 7007
+	OrderUnfinished      ID = 7008
+	OrdersHeld           ID = 7009
+	OrdersReleased       ID = 7010
 )
 
 var providerEvents = []Definition{
@@ -17,4 +22,8 @@
 	{ProviderConfigTaken, "provider_config_taken", Info, "A provider's configuration is in force at this daemon."},
 	{ProviderWeightsNamed, "provider_weights_named", Info, "Operators named a weights version; detail has the model."},
 	{ProviderUpstream, "provider_upstream", Info, "A provider added, changed or removed an upstream; detail has its state and address."},
+	{OrderGiven, "order_given", Info, "An engine was ordered to load a weights version; detail has the model, the fencing token and the expected revision."},
+	{OrderUnfinished, "order_unfinished", Warn, "An engine was not seen to carry out an order; it is ordered again."},
+	{OrdersHeld, "orders_held", Info, "This daemon holds the lease on orders; detail has its fencing token."},
+	{OrdersReleased, "orders_released", Info, "This daemon lost or gave up the lease on orders."},
 }
--- /dev/null
+++ b/internal/rollout/runner.go
@@ -0,0 +1,289 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"time"
+
+	"currantpulley/internal/catalog"
+	"currantpulley/internal/event"
+	"currantpulley/internal/failure"
+)
+
+// Errors of orders, tested with errors.Is.
+var (
+	// ErrFenced: the engine has seen an order of a later holder.
+	ErrFenced = errors.New("a later holder gives orders")
+	// ErrConflict: the engine has another order in progress, or its revision
+	// is not the one expected.
+	ErrConflict = errors.New("the engine is at another revision")
+	// ErrRejected: the engine will never take this order.
+	ErrRejected = errors.New("the engine rejects the order")
+)
+
+// Report is what an engine says of itself.
+type Report struct {
+	Versions map[string]uint64 // by model
+	Busy     bool              // an order is in progress
+	Revision uint64            // number of orders accepted
+	Running  int
+	Waiting  int
+}
+
+// Order tells an engine to load a weights version.
+type Order struct {
+	Model    string
+	Version  uint64
+	Holder   string
+	Token    uint64 // fencing token
+	Revision uint64 // at which the order holds
+}
+
+// Control reaches engines.
+type Control interface {
+	// Report reads an engine's state.
+	Report(ctx context.Context, u *catalog.Upstream) (Report, error)
+	// Order gives an order. After an error other than those above its outcome
+	// is unknown.
+	Order(ctx context.Context, u *catalog.Upstream, o Order) error
+}
+
+// Lease tells whether this daemon is the one that gives orders.
+type Lease interface {
+	// Token returns the fencing token, and false when the lease is not held now.
+	Token() (uint64, bool)
+}
+
+// Options of a Runner.
+type Options struct {
+	Self     string // name of this VM
+	Watcher  *catalog.Watcher
+	Control  Control
+	Lease    Lease
+	Recorder event.Recorder
+	// Serves is told of each version that an engine was seen to serve.
+	Serves func(k catalog.Key, model string, version uint64)
+	// Version returns the newest version that u is known to serve.
+	Version func(u *catalog.Upstream, model string) uint64
+	// Load returns the estimated requests in u.
+	Load func(u *catalog.Upstream) float64
+}
+
+const (
+	tick         = 50 * time.Millisecond
+	callTimeout  = 600 * time.Millisecond
+	pollPeriod   = 80 * time.Millisecond // between reports of an engine that loads
+	conflictWait = 150 * time.Millisecond
+	failureWait  = 500 * time.Millisecond
+	rejectedWait = 3 * time.Second
+)
+
+// Runner gives the orders while its daemon holds the lease. Its state belongs
+// to the goroutine of Run.
+type Runner struct {
+	opts    Options
+	engines map[key]*record
+	results chan result
+	fenced  uint64 // token that an engine refused
+}
+
+type key struct {
+	engine catalog.Key
+	model  string
+}
+
+type record struct {
+	Engine
+	working bool // a goroutine looks after an order
+}
+
+type result struct {
+	key     key
+	version uint64 // that the engine serves now; 0: not known
+	token   uint64
+	err     error
+}
+
+// New returns a runner.
+func New(o Options) *Runner {
+	return &Runner{opts: o, engines: make(map[key]*record), results: make(chan result, 64)}
+}
+
+// Run plans and gives orders until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case res := <-r.results:
+			r.ended(res, time.Now())
+		case <-t.C:
+			r.step(ctx, time.Now())
+		}
+	}
+}
+
+// step gives the orders that the plan asks for.
+func (r *Runner) step(ctx context.Context, now time.Time) {
+	token, held := r.opts.Lease.Token()
+	if !held || token == r.fenced {
+		return
+	}
+	snap := r.opts.Watcher.Load()
+	if snap.Config == nil {
+		return
+	}
+	for model, wanted := range snap.Weights {
+		for _, s := range snap.Config.Services {
+			if s.Engine != nil {
+				r.plan(ctx, snap, s, model, wanted.Version, token, now)
+			}
+		}
+	}
+	r.forget(snap)
+}
+
+func (r *Runner) plan(ctx context.Context, snap *catalog.Snapshot, s *catalog.Service, model string, wanted, token uint64, now time.Time) {
+	var engines []Engine
+	for _, u := range snap.Of(s.Name) {
+		if u.Leaving {
+			continue
+		}
+		rec := r.record(key{u.Key(), model})
+		rec.Version = max(rec.Version, r.opts.Version(u, model))
+		rec.Load = r.opts.Load(u)
+		engines = append(engines, rec.Engine)
+	}
+	for _, k := range Plan(engines, wanted, now) {
+		u := snap.Upstreams[k.ID]
+		rec := r.record(key{k, model})
+		if u == nil || u.Key() != k || rec.working {
+			continue
+		}
+		rec.working, rec.Ordered, rec.OrderedAt = true, wanted, now
+		go r.bring(ctx, u, Order{Model: model, Version: wanted, Holder: r.opts.Self, Token: token})
+	}
+}
+
+func (r *Runner) record(k key) *record {
+	rec, ok := r.engines[k]
+	if !ok {
+		rec = &record{Engine: Engine{Key: k.engine}}
+		r.engines[k] = rec
+	}
+	return rec
+}
+
+// forget drops the records of engines that are gone.
+func (r *Runner) forget(snap *catalog.Snapshot) {
+	maps.DeleteFunc(r.engines, func(k key, rec *record) bool {
+		u := snap.Upstreams[k.engine.ID]
+		return !rec.working && (u == nil || u.Key() != k.engine)
+	})
+}
+
+// bring orders one engine to a version and waits until it serves it.
+func (r *Runner) bring(ctx context.Context, u *catalog.Upstream, o Order) {
+	version, err := r.order(ctx, u, o)
+	select {
+	case r.results <- result{key{u.Key(), o.Model}, version, o.Token, err}:
+	case <-ctx.Done():
+	}
+}
+
+func (r *Runner) order(ctx context.Context, u *catalog.Upstream, o Order) (uint64, error) {
+	report, err := r.report(ctx, u)
+	if err != nil {
+		return 0, err
+	}
+	if v := report.Versions[o.Model]; v >= o.Version {
+		return v, nil
+	}
+	if report.Busy {
+		return r.await(ctx, u, o)
+	}
+	o.Revision = report.Revision
+	if token, held := r.opts.Lease.Token(); !held || token != o.Token {
+		return 0, fmt.Errorf("order %s: the lease is not held any more", u.ID)
+	}
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	err = r.opts.Control.Order(bounded, u, o)
+	cancel()
+	r.opts.Recorder.Record(event.Event{
+		ID: event.OrderGiven, Upstream: u.ID, Version: o.Version, Step: "order", Err: err,
+		Detail: fmt.Sprintf("model %s, token %d, revision %d", o.Model, o.Token, o.Revision),
+	})
+	if errors.Is(err, ErrFenced) || errors.Is(err, ErrRejected) || errors.Is(err, ErrConflict) {
+		return 0, failure.At("order", u.ID, err)
+	}
+	return r.await(ctx, u, o) // an order without an answer may have been taken
+}
+
+func (r *Runner) report(ctx context.Context, u *catalog.Upstream) (Report, error) {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	report, err := r.opts.Control.Report(bounded, u)
+	if err != nil {
+		return report, failure.At("report", u.ID, err)
+	}
+	return report, nil
+}
+
+// await reads the engine's reports until it serves the version.
+func (r *Runner) await(ctx context.Context, u *catalog.Upstream, o Order) (uint64, error) {
+	deadline := time.Now().Add(orderTimeout)
+	idle := 0
+	for time.Now().Before(deadline) {
+		select {
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		case <-time.After(pollPeriod):
+		}
+		report, err := r.report(ctx, u)
+		if err != nil {
+			return 0, err
+		}
+		if v := report.Versions[o.Model]; v >= o.Version {
+			return v, nil
+		}
+		if idle++; report.Busy {
+			idle = 0
+		}
+		if idle > idlePolls {
+			return report.Versions[o.Model], fmt.Errorf("order %s: the engine did not begin", u.ID)
+		}
+	}
+	return 0, fmt.Errorf("order %s: not carried out within %v", u.ID, orderTimeout)
+}
+
+// idlePolls is how many reports in a row may say that no order is in progress:
+// reports are a little late.
+const idlePolls = 6
+
+// ended takes in the end of an order.
+func (r *Runner) ended(res result, now time.Time) {
+	rec := r.record(res.key)
+	rec.working, rec.Ordered = false, 0
+	if res.version > rec.Version {
+		rec.Version = res.version
+		r.opts.Serves(res.key.engine, res.key.model, res.version)
+	}
+	switch {
+	case res.err == nil:
+	case errors.Is(res.err, ErrFenced):
+		r.fenced = res.token
+	case errors.Is(res.err, ErrConflict):
+		rec.RetryAt = now.Add(conflictWait)
+	case errors.Is(res.err, ErrRejected):
+		rec.RetryAt = now.Add(rejectedWait)
+	default:
+		rec.RetryAt = now.Add(failureWait)
+	}
+	if res.err != nil {
+		r.opts.Recorder.Record(event.Event{ID: event.OrderUnfinished, Upstream: res.key.engine.ID, Step: "roll out", Err: res.err})
+	}
+}
