Share work among daemons and close engines before they load weights

Cause: an order that waits for the runs in an engine takes 1 to 4 s, and each daemon saw only its own twentieth of the load. The runner closes an engine, waits until no request is left that can't go on elsewhere, then preempts. Short work keeps a quarter of the engines for itself.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,6 +32,16 @@
 	staleAfter = 1200 * time.Millisecond
 	// staleCost is the delay that an answer on the newest weights is worth.
 	staleCost = 250 * time.Millisecond
+	// longTokens is the size of a prompt from which on it is long work.
+	longTokens = 2000
+	// shortLane is the part of the engines that long work leaves to short work
+	// while it can.
+	shortLane = 0.25
+	// laneCost is the delay that keeping short and long work apart is worth.
+	laneCost = 150 * time.Millisecond
+	// sharedMax is the time without word of any other daemon after which loads
+	// that answers carry are used instead.
+	sharedMax = time.Second
 	// forgetAfter is how long the state of an upstream without requests is kept.
 	forgetAfter = 30 * time.Second
 )
@@ -49,18 +59,21 @@
 
 	mu        sync.Mutex
 	upstreams map[catalog.Key]*state
+	sharedAt  time.Time // when another daemon last told of its work
+	sweptAt   time.Time
 }
 
 // state is what is known of one upstream.
 type state struct {
-	inFlight    int     // own requests
-	tokens      int     // of own prompts whose answer has not begun
-	others      float64 // requests of other daemons, as last reported
+	own         Use                // of this daemon
+	peers       map[string]peerUse // of the others, by VM
+	others      float64            // requests of other daemons, as an answer told
 	reportedAt  time.Time
 	slowdown    float64
 	weights     map[string]uint64 // versions that answers told
 	pausedUntil time.Time
-	failures    int // in a row
+	closedUntil time.Time // it is about to load weights, or does
+	failures    int       // in a row
 	usedAt      time.Time
 }
 
@@ -78,23 +91,28 @@
 	if best == nil {
 		return nil
 	}
-	best.state.inFlight++
-	best.state.tokens += best.tokens
+	best.fixed = !w.Movable
+	best.state.own.Requests++
+	best.state.own.Tokens += best.tokens
+	if best.fixed {
+		best.state.own.Fixed++
+	}
 	best.state.usedAt = now
 	return best
 }
 
-// choose returns the candidate with the least expected wait. One that is
-// paused is only taken when all are.
+// choose returns the candidate with the least score. One that is paused is
+// only taken when all are.
 func (b *Balancer) choose(snap *catalog.Snapshot, w *Work, now time.Time) *Pick {
 	var best *Pick
 	var bestScore time.Duration
-	owner := b.owner(snap, w, now)
-	for _, u := range snap.Of(w.Service) {
+	all := snap.Of(w.Service)
+	place := b.place(all, w, now)
+	for _, u := range all {
 		if u.Leaving || w.tried(u.Key()) {
 			continue
 		}
-		c, score := b.weigh(snap, w, u, u == owner, now)
+		c, score := b.weigh(snap, w, u, place, now)
 		if c == nil {
 			continue
 		}
@@ -105,57 +123,99 @@
 	return best
 }
 
-// owner returns the engine that the prompt's shared parts belong to.
-func (b *Balancer) owner(snap *catalog.Snapshot, w *Work, now time.Time) *catalog.Upstream {
+// place is where a prompt belongs, the same at every daemon.
+type place struct {
+	owner *catalog.Upstream // engine of the prompt's shared parts
+	short map[string]bool   // ids of the engines that are kept for short work
+}
+
+func (b *Balancer) place(all []*catalog.Upstream, w *Work, now time.Time) place {
 	if w.Prompt == nil {
-		return nil
+		return place{}
 	}
+	p := place{short: lane(all)}
 	key := rendezvous.Hash(w.Prompt.group())
-	var best *catalog.Upstream
 	var most uint64
-	for _, u := range snap.Of(w.Service) {
-		if u.Leaving || now.Before(b.of(u.Key(), now).pausedUntil) {
+	for _, u := range all {
+		s := b.of(u.Key(), now)
+		if u.Leaving || now.Before(s.pausedUntil) || now.Before(s.closedUntil) || p.short[u.ID] == w.Prompt.long() {
 			continue
 		}
-		if weight := rendezvous.Weight(rendezvous.Hash(u.ID), key); best == nil || weight > most {
-			best, most = u, weight
+		if weight := rendezvous.Weight(rendezvous.Hash(u.ID), key); p.owner == nil || weight > most {
+			p.owner, most = u, weight
 		}
 	}
-	return best
+	return p
+}
+
+// lane returns the engines that are kept for short work.
+func lane(all []*catalog.Upstream) map[string]bool {
+	names := make([]uint64, len(all))
+	for i, u := range all {
+		names[i] = rendezvous.Hash(u.ID)
+	}
+	short := make(map[string]bool)
+	for _, i := range rendezvous.Top(names, 0, int(shortLane*float64(len(all)))) {
+		short[all[i].ID] = true
+	}
+	return short
 }
 
 // weigh returns u as a candidate with its score: the expected wait and what
 // else speaks against it.
-func (b *Balancer) weigh(snap *catalog.Snapshot, w *Work, u *catalog.Upstream, owner bool, now time.Time) (*Pick, time.Duration) {
+func (b *Balancer) weigh(snap *catalog.Snapshot, w *Work, u *catalog.Upstream, at place, now time.Time) (*Pick, time.Duration) {
 	s := b.of(u.Key(), now)
 	p := &Pick{Upstream: u, state: s}
 	score := time.Duration(0)
-	if paused := s.pausedUntil.Sub(now); paused > 0 {
+	if paused := max(s.pausedUntil.Sub(now), s.closedUntil.Sub(now)); paused > 0 {
 		score += paused + pauseMax
 	}
 	if u.DataCentre != b.opts.DataCentre {
 		score += farCost
 	}
 	slow := max(1, s.slowdown)
-	busy := float64(s.inFlight) + s.othersAt(now)
+	requests, tokens := b.work(s, now)
 	if w.Prompt == nil {
-		p.Wait = scale(callCost, slow*busy/float64(max(1, u.Slots)))
+		p.Wait = scale(callCost, slow*requests/float64(max(1, u.Slots)))
 		return p, score + p.Wait
 	}
+	stale, ok := b.stale(snap, s, u, w.Prompt.Model, now)
+	if !ok {
+		return nil, 0
+	}
+	if at.short[u.ID] == w.Prompt.long() {
+		score += laneCost
+	}
 	p.Version = s.version(u, w.Prompt.Model)
-	wanted, named := snap.Weights[w.Prompt.Model]
-	if named && p.Version != 0 && p.Version < wanted.Version {
-		age := now.Sub(wanted.Since)
-		if b.opts.StaleRefused > 0 && age > b.opts.StaleRefused {
-			return nil, 0
-		}
-		if age > staleAfter {
-			score += staleCost
-		}
+	p.tokens = uncached(w.Prompt, u == at.owner)
+	p.Wait = scale(requestCost, slow*requests) + prefill((tokens+float64(p.tokens))*slow)
+	return p, score + stale + p.Wait
+}
+
+// work returns the requests at an upstream and the tokens that wait in it.
+func (b *Balancer) work(s *state, now time.Time) (requests, tokens float64) {
+	requests, tokens = float64(s.own.Requests), float64(s.own.Tokens)
+	if now.Sub(b.sharedAt) > sharedMax {
+		return requests + s.othersAt(now), tokens
+	}
+	others := s.fromPeers(now)
+	return requests + float64(others.Requests), tokens + float64(others.Tokens)
+}
+
+// stale returns what speaks against u's weights, and false when they are too old.
+func (b *Balancer) stale(snap *catalog.Snapshot, s *state, u *catalog.Upstream, model string, now time.Time) (time.Duration, bool) {
+	version := s.version(u, model)
+	age, behind := snap.Weights[model].Behind(version, now)
+	if !behind || version == 0 {
+		return 0, true
+	}
+	if b.opts.StaleRefused > 0 && age > b.opts.StaleRefused {
+		return 0, false
+	}
+	if age > staleAfter {
+		return staleCost, true
 	}
-	p.tokens = uncached(w.Prompt, owner)
-	p.Wait = scale(requestCost, slow*busy) + prefill(float64(s.tokens+p.tokens)*slow)
-	return p, score + p.Wait
+	return 0, true
 }
 
 // uncached returns the tokens of the prompt that an engine presumably has to
--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -14,7 +14,7 @@
 }
 
 func (p *Pick) begin() {
-	p.state.tokens -= p.tokens
+	p.state.own.Tokens -= p.tokens
 	p.tokens = 0
 }
 
@@ -35,7 +35,10 @@
 	defer b.mu.Unlock()
 	p.begin()
 	s := p.state
-	s.inFlight--
+	s.own.Requests--
+	if p.fixed {
+		s.own.Fixed--
+	}
 	s.usedAt = now
 	switch o {
 	case Served:
@@ -61,7 +64,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(k, now)
-	s.others = float64(max(0, l.Running+l.Waiting-s.inFlight))
+	s.others = float64(max(0, l.Running+l.Waiting-s.own.Requests))
 	s.reportedAt = now
 	s.slowdown = l.Slowdown
 }
@@ -86,17 +89,13 @@
 
 // forget drops the states of upstreams that were long not used.
 func (b *Balancer) forget(now time.Time) {
+	if now.Sub(b.sweptAt) < forgetAfter {
+		return
+	}
+	b.sweptAt = now
 	for k, s := range b.upstreams {
-		if s.inFlight == 0 && now.Sub(s.usedAt) > forgetAfter {
+		if s.own.Requests == 0 && now.Sub(s.usedAt) > forgetAfter {
 			delete(b.upstreams, k)
 		}
 	}
 }
-
-// Load returns the estimated requests in u, those of other daemons included.
-func (b *Balancer) Load(u *catalog.Upstream, now time.Time) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.of(u.Key(), now)
-	return float64(s.inFlight) + s.othersAt(now)
-}
--- /dev/null
+++ b/internal/balance/shared.go
@@ -0,0 +1,97 @@
+package balance
+
+import (
+	"time"
+
+	"currantpulley/internal/catalog"
+)
+
+// Use is one daemon's work at an upstream.
+type Use struct {
+	Requests int
+	Fixed    int // of these, that can't go on at another upstream
+	Tokens   int // of prompts that wait for their first token
+}
+
+// peerUse is what another daemon told of its work at an upstream.
+type peerUse struct {
+	Use
+	until time.Time
+}
+
+// Own returns this daemon's work, by upstream.
+func (b *Balancer) Own() map[catalog.Key]Use {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[catalog.Key]Use)
+	for k, s := range b.upstreams {
+		if s.own.Requests > 0 {
+			out[k] = s.own
+		}
+	}
+	return out
+}
+
+// Shared replaces what another daemon told of its work. It holds until then.
+func (b *Balancer) Shared(vm string, uses map[catalog.Key]Use, now, until time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sharedAt = now
+	for k, s := range b.upstreams {
+		if _, ok := uses[k]; !ok {
+			delete(s.peers, vm)
+		}
+	}
+	for k, u := range uses {
+		s := b.of(k, now)
+		if s.peers == nil {
+			s.peers = make(map[string]peerUse)
+		}
+		s.peers[vm] = peerUse{u, until}
+		s.usedAt = now
+	}
+}
+
+// Close keeps new work from an upstream until then.
+func (b *Balancer) Close(k catalog.Key, until, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.of(k, now).closedUntil = until
+}
+
+// Open lets new work go to an upstream again.
+func (b *Balancer) Open(k catalog.Key, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(k, now)
+	s.closedUntil = time.Time{}
+	s.pausedUntil = time.Time{}
+}
+
+// All returns the work of all daemons at an upstream, as far as it is known.
+func (b *Balancer) All(u *catalog.Upstream, now time.Time) Use {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.of(u.Key(), now)
+	others := s.fromPeers(now)
+	return Use{
+		Requests: s.own.Requests + others.Requests,
+		Fixed:    s.own.Fixed + others.Fixed,
+		Tokens:   s.own.Tokens + others.Tokens,
+	}
+}
+
+// fromPeers returns the work that other daemons told of lately.
+func (s *state) fromPeers(now time.Time) Use {
+	sum := Use{}
+	for vm, p := range s.peers {
+		if now.After(p.until) {
+			delete(s.peers, vm)
+			continue
+		}
+		sum.Requests += p.Requests
+		sum.Fixed += p.Fixed
+		sum.Tokens += p.Tokens
+	}
+	return sum
+}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -53,10 +53,15 @@
 	return group, before
 }
 
+// long reports whether the prompt's computation delays the answers that an
+// engine is writing.
+func (p *Prompt) long() bool { return p.Tokens >= longTokens }
+
 // Work is a request as the balancer sees it.
 type Work struct {
 	Service string
 	Prompt  *Prompt // nil: a plain call
+	Movable bool    // may go on at another upstream once it runs
 	Tried   []catalog.Key
 }
 
@@ -84,5 +89,6 @@
 	Version  uint64        // weights version to expect; 0: any
 	Wait     time.Duration // expected until the first byte
 	tokens   int           // of the prompt, that are not computed yet
+	fixed    bool          // can't go on at another upstream
 	state    *state
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -172,5 +172,31 @@
 // Wanted is the newest weights version that was named for a model.
 type Wanted struct {
 	Version uint64
-	Since   time.Time // when this daemon learned of it
+	named   []naming // the last ones, oldest first
+}
+
+// naming is when this daemon learned of a version.
+type naming struct {
+	version uint64
+	at      time.Time
+}
+
+// namingsMax bounds the versions whose naming is remembered.
+const namingsMax = 16
+
+// add returns w with a newer version.
+func (w Wanted) add(version uint64, at time.Time) Wanted {
+	named := append(slices.Clone(w.named), naming{version, at})
+	return Wanted{Version: version, named: named[max(0, len(named)-namingsMax):]}
+}
+
+// Behind returns for how long a newer version than version has been named at
+// now, and false when none has.
+func (w Wanted) Behind(version uint64, now time.Time) (time.Duration, bool) {
+	for _, n := range w.named {
+		if n.version > version {
+			return now.Sub(n.at), true
+		}
+	}
+	return 0, false
 }
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -71,7 +71,7 @@
 		if s.Weights == nil {
 			s.Weights = make(map[string]Wanted)
 		}
-		s.Weights[model] = Wanted{Version: version, Since: now}
+		s.Weights[model] = s.Weights[model].add(version, now)
 		taken = true
 	})
 	return taken
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -106,7 +106,7 @@
 func (g *Gateway) attempt(q *request, o Outbound) (*attempt, error) {
 	q.snap = g.opts.Watcher.Load()
 	now := time.Now()
-	work := &balance.Work{Service: q.service.Name, Tried: q.tried}
+	work := &balance.Work{Service: q.service.Name, Movable: q.movable(), Tried: q.tried}
 	if q.service.Engine != nil {
 		work.Prompt = q.Prompt
 	}
@@ -128,6 +128,11 @@
 	return nil, err
 }
 
+// movable reports whether the request may go on at another upstream.
+func (q *request) movable() bool {
+	return q.route.Kind == catalog.Stream && q.route.Resumable && q.runs+1 < q.route.MaxAttempts
+}
+
 // checkAgain refuses a request whose key may have been taken away meanwhile.
 func (g *Gateway) checkAgain(q *request) error {
 	if q.workspace == nil || q.route.Public {
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -39,6 +39,7 @@
 	Holder   string
 	Token    uint64 // fencing token
 	Revision uint64 // at which the order holds
+	Preempt  bool   // ends the runs in progress instead of waiting for them
 }
 
 // Control reaches engines.
@@ -63,12 +64,16 @@
 	Control  Control
 	Lease    Lease
 	Recorder event.Recorder
-	// Serves is told of each version that an engine was seen to serve.
-	Serves func(k catalog.Key, model string, version uint64)
 	// Version returns the newest version that u is known to serve.
 	Version func(u *catalog.Upstream, model string) uint64
-	// Load returns the estimated requests in u.
-	Load func(u *catalog.Upstream) float64
+	// Work returns the requests of all daemons in u, and how many of them
+	// can't go on at another engine.
+	Work func(u *catalog.Upstream) (requests, fixed int)
+	// Closing tells all daemons to send no new work to an engine for a while.
+	Closing func(k catalog.Key, d time.Duration, token uint64)
+	// Opened tells all daemons that an engine takes work again; version is
+	// the one that it serves, 0 if that isn't known.
+	Opened func(k catalog.Key, model string, version, token uint64)
 }
 
 const (
@@ -78,6 +83,14 @@
 	conflictWait = 150 * time.Millisecond
 	failureWait  = 500 * time.Millisecond
 	rejectedWait = 3 * time.Second
+
+	// closedFor is how long an engine stays closed unless it is told otherwise.
+	closedFor = 3 * time.Second
+	// settleMin is the time in which all daemons have heard that an engine closes.
+	settleMin = 40 * time.Millisecond
+	// settleMax bounds the wait for requests that can't go on elsewhere.
+	settleMax  = 700 * time.Millisecond
+	settlePoll = 20 * time.Millisecond
 )
 
 // Runner gives the orders while its daemon holds the lease. Its state belongs
@@ -155,7 +168,8 @@
 		}
 		rec := r.record(key{u.Key(), model})
 		rec.Version = max(rec.Version, r.opts.Version(u, model))
-		rec.Load = r.opts.Load(u)
+		requests, _ := r.opts.Work(u)
+		rec.Load = float64(requests)
 		engines = append(engines, rec.Engine)
 	}
 	for _, k := range Plan(engines, wanted, now) {
@@ -195,7 +209,11 @@
 	}
 }
 
-func (r *Runner) order(ctx context.Context, u *catalog.Upstream, o Order) (uint64, error) {
+// order closes the engine, orders it and waits until it serves the version.
+func (r *Runner) order(ctx context.Context, u *catalog.Upstream, o Order) (version uint64, err error) {
+	r.opts.Closing(u.Key(), closedFor, o.Token)
+	defer func() { r.opts.Opened(u.Key(), o.Model, version, o.Token) }()
+	o.Preempt = r.settle(ctx, u)
 	report, err := r.report(ctx, u)
 	if err != nil {
 		return 0, err
@@ -215,7 +233,7 @@
 	cancel()
 	r.opts.Recorder.Record(event.Event{
 		ID: event.OrderGiven, Upstream: u.ID, Version: o.Version, Step: "order", Err: err,
-		Detail: fmt.Sprintf("model %s, token %d, revision %d", o.Model, o.Token, o.Revision),
+		Detail: fmt.Sprintf("model %s, token %d, revision %d, preempt %t", o.Model, o.Token, o.Revision, o.Preempt),
 	})
 	if errors.Is(err, ErrFenced) || errors.Is(err, ErrRejected) || errors.Is(err, ErrConflict) {
 		return 0, failure.At("order", u.ID, err)
@@ -223,6 +241,27 @@
 	return r.await(ctx, u, o) // an order without an answer may have been taken
 }
 
+// settle waits until no request in the engine would be lost by ending it. It
+// reports whether that is so.
+func (r *Runner) settle(ctx context.Context, u *catalog.Upstream) bool {
+	began := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(settlePoll):
+		}
+		_, fixed := r.opts.Work(u)
+		waited := time.Since(began)
+		if fixed == 0 && waited >= settleMin {
+			return true
+		}
+		if waited >= settleMax {
+			return false
+		}
+	}
+}
+
 func (r *Runner) report(ctx context.Context, u *catalog.Upstream) (Report, error) {
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -268,10 +307,7 @@
 func (r *Runner) ended(res result, now time.Time) {
 	rec := r.record(res.key)
 	rec.working, rec.Ordered = false, 0
-	if res.version > rec.Version {
-		rec.Version = res.version
-		r.opts.Serves(res.key.engine, res.key.model, res.version)
-	}
+	rec.Version = max(rec.Version, res.version)
 	switch {
 	case res.err == nil:
 	case errors.Is(res.err, ErrFenced):
