--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -39,6 +39,9 @@
 	shortLane = 0.25
 	// laneCost is the delay that keeping short and long work apart is worth.
 	laneCost = 150 * time.Millisecond
+	// fetchMin is the number of shared tokens from which on moving their cache
+	// entries takes less time than computing them.
+	fetchMin = 256
 	// sharedMax is the time without word of any other daemon after which loads
 	// that answers carry are used instead.
 	sharedMax = time.Second
@@ -188,10 +191,26 @@
 	}
 	p.Version = s.version(u, w.Prompt.Model)
 	p.tokens = uncached(w.Prompt, u == at.owner)
+	p.Fetch = b.source(w.Prompt, u, at.owner, p.Version, now)
 	p.Wait = scale(requestCost, slow*requests) + prefill((tokens+float64(p.tokens))*slow)
 	return p, score + stale + p.Wait
 }
 
+// source returns the address that u should fetch the prompt's parts from: that
+// of their owner, where it is another engine with the same weights.
+func (b *Balancer) source(p *Prompt, u, owner *catalog.Upstream, version uint64, now time.Time) string {
+	if owner == nil || owner == u || version == 0 {
+		return ""
+	}
+	if b.of(owner.Key(), now).version(owner, p.Model) != version {
+		return ""
+	}
+	if group, before := p.shared(); group+before < fetchMin {
+		return ""
+	}
+	return owner.Address
+}
+
 // work returns the requests at an upstream and the tokens that wait in it.
 func (b *Balancer) work(s *state, now time.Time) (requests, tokens float64) {
 	requests, tokens = float64(s.own.Requests), float64(s.own.Tokens)
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -88,6 +88,7 @@
 	Upstream *catalog.Upstream
 	Version  uint64        // weights version to expect; 0: any
 	Wait     time.Duration // expected until the first byte
+	Fetch    string        // address of an engine that presumably holds the prompt's parts; empty: none
 	tokens   int           // of the prompt, that are not computed yet
 	fixed    bool          // can't go on at another upstream
 	state    *state
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -198,6 +198,7 @@
 		o.Version = a.pick.Version
 		o.Salt = salt(q, a.pick.Version)
 		o.Urgency = urgency(q.route, q.workspace)
+		o.FetchFrom = a.pick.Fetch
 	}
 	g.opts.Dialect.Outbound(req.Header, o)
 	return req.WithContext(q.ctx), nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 type Gateway struct {
 	opts     Options
 	draining atomic.Bool
+	stopped  atomic.Bool
 }
 
 // New returns a gateway.
@@ -45,6 +46,9 @@
 // Drain makes each further answer the last one of its connection.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// Refuse makes each further request be refused, before the process ends.
+func (g *Gateway) Refuse() { g.stopped.Store(true) }
+
 // Ready reports whether the balancer should send callers here.
 func (g *Gateway) Ready() bool {
 	return !g.draining.Load() && g.opts.Watcher.Load().Config != nil && g.fresh()
@@ -114,12 +118,18 @@
 	return g.attempts(q)
 }
 
+// stoppedRetry is when a caller should come back, by way of another daemon.
+const stoppedRetry = 20 * time.Millisecond
+
 // noConfigRetry is when a caller should come back to a daemon that is starting.
 const noConfigRetry = 300 * time.Millisecond
 
 // accept finds the request's route and workspace.
 func (g *Gateway) accept(q *request) error {
 	q.snap = g.opts.Watcher.Load()
+	if g.stopped.Load() {
+		return refusal.New(refusal.Draining, "this router is stopping").After(stoppedRetry)
+	}
 	if q.snap.Config == nil {
 		return refusal.New(refusal.NoConfiguration, "no configuration is in force here yet").After(noConfigRetry)
 	}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -18,7 +18,7 @@
 const (
 	// loadShare is the part of a service's engines that load weights at once.
 	// More of them share the same weight store and only take longer.
-	loadShare = 6
+	loadShare = 4
 	// orderTimeout is the time after which an order without effect is given again.
 	orderTimeout = 4 * time.Second
 )
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -59,7 +59,8 @@
 
 // Options of a Runner.
 type Options struct {
-	Self     string // name of this VM
+	Self     string        // name of this VM
+	Turn     time.Duration // between orders of two holders to one engine
 	Watcher  *catalog.Watcher
 	Control  Control
 	Lease    Lease
@@ -99,6 +100,8 @@
 	opts    Options
 	engines map[key]*record
 	results chan result
+	heard   chan heard
+	turns   map[catalog.Key]turn
 	fenced  uint64 // token that an engine refused
 }
 
@@ -112,6 +115,13 @@
 	working bool // a goroutine looks after an order
 }
 
+// heard is another daemon's notice about an order to an engine.
+type heard struct {
+	engine catalog.Key
+	token  uint64
+	open   bool
+}
+
 type result struct {
 	key     key
 	version uint64 // that the engine serves now; 0: not known
@@ -121,7 +131,17 @@
 
 // New returns a runner.
 func New(o Options) *Runner {
-	return &Runner{opts: o, engines: make(map[key]*record), results: make(chan result, 64)}
+	return &Runner{opts: o, engines: make(map[key]*record), results: make(chan result, 64), heard: make(chan heard, 64),
+		turns: make(map[catalog.Key]turn)}
+}
+
+// Heard takes another holder's notice that it closes an engine for an order, or
+// opens it after one.
+func (r *Runner) Heard(k catalog.Key, token uint64, open bool) {
+	select {
+	case r.heard <- heard{k, token, open}:
+	default: // the notice is repeated
+	}
 }
 
 // Run plans and gives orders until ctx ends.
@@ -134,12 +154,32 @@
 			return
 		case res := <-r.results:
 			r.ended(res, time.Now())
+		case h := <-r.heard:
+			r.yield(h, time.Now())
 		case <-t.C:
 			r.step(ctx, time.Now())
 		}
 	}
 }
 
+// turn is what is known of another holder's orders to an engine.
+type turn struct {
+	heard
+	until time.Time // no order of this daemon before
+}
+
+// yield leaves an engine alone for the turn after another holder's order.
+func (r *Runner) yield(h heard, now time.Time) {
+	if r.turns[h.engine].heard == h {
+		return // a repeated notice
+	}
+	until := now.Add(r.opts.Turn)
+	if !h.open {
+		until = until.Add(settleMax + callTimeout)
+	}
+	r.turns[h.engine] = turn{h, until}
+}
+
 // step gives the orders that the plan asks for.
 func (r *Runner) step(ctx context.Context, now time.Time) {
 	token, held := r.opts.Lease.Token()
@@ -170,6 +210,9 @@
 		rec.Version = max(rec.Version, r.opts.Version(u, model))
 		requests, _ := r.opts.Work(u)
 		rec.Load = float64(requests)
+		if t := r.turns[u.Key()]; t.until.After(rec.RetryAt) {
+			rec.RetryAt = t.until
+		}
 		engines = append(engines, rec.Engine)
 	}
 	for _, k := range Plan(engines, wanted, now) {
@@ -198,6 +241,10 @@
 		u := snap.Upstreams[k.engine.ID]
 		return !rec.working && (u == nil || u.Key() != k.engine)
 	})
+	maps.DeleteFunc(r.turns, func(k catalog.Key, _ turn) bool {
+		u := snap.Upstreams[k.ID]
+		return u == nil || u.Key() != k
+	})
 }
 
 // bring orders one engine to a version and waits until it serves it.
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -43,6 +43,7 @@
 	began     bool  // a request has begun and its handler was not called yet
 
 	failed atomic.Pointer[error] // first write error
+	busy   atomic.Bool           // a handler runs
 
 	pending []byte // read by the watcher, not yet by nbhttp
 	readErr error
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -114,6 +114,17 @@
 // StopAccepting closes the listener. Open connections go on.
 func (s *Server) StopAccepting() { _ = s.listener.Close() }
 
+// CloseIdle closes the connections on which no request is in progress.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if !c.busy.Load() {
+			_ = c.tcp.Close()
+		}
+	}
+}
+
 // Close stops the listener and closes every connection, also those with
 // requests in progress.
 func (s *Server) Close() {
@@ -170,9 +181,13 @@
 	}
 	s.active.Add(1)
 	defer s.active.Add(-1)
+	c.busy.Store(true)
+	defer c.busy.Store(false)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c.startWatch(cancel)
 	defer c.stopWatch()
-	s.opts.Handler.ServeHTTP(&Writer{res: res, request: r, conn: c, timeout: s.opts.Limits().WriteTimeout}, r.WithContext(ctx))
+	out := &Writer{res: res, request: r, conn: c, timeout: s.opts.Limits().WriteTimeout}
+	s.opts.Handler.ServeHTTP(out, r.WithContext(ctx))
+	out.extend() // for what nbhttp writes after the handler
 }
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,70 @@
+package server_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"currantpulley/internal/server"
+)
+
+const testWriteTimeout = 50 * time.Millisecond
+
+func startServer(t *testing.T, h http.HandlerFunc) net.Conn {
+	t.Helper()
+	s, err := server.Start(server.Options{
+		Address: "127.0.0.1:0",
+		Limits: func() server.Limits {
+			return server.Limits{MaxBody: 1 << 20, MaxHeader: 1 << 14, MaxConnections: 10,
+				ReadTimeout: time.Second, WriteTimeout: testWriteTimeout}
+		},
+		Handler: h,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// get sends a request over c and returns the answer, whose body it closes.
+func get(t *testing.T, c net.Conn, path string) *http.Response {
+	t.Helper()
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("GET %s: %v", path, err)
+	}
+	_ = res.Body.Close()
+	return res
+}
+
+// An answer without a body is written after its handler; the write timeout of
+// an earlier answer on the same connection must not count for it.
+func TestEmptyAnswerOnKeptConnection(t *testing.T) {
+	c := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/body" {
+			_, _ = w.Write([]byte("x"))
+			return
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	})
+	if res := get(t, c, "/body"); res.StatusCode != http.StatusOK {
+		t.Fatalf("status %d", res.StatusCode)
+	}
+	time.Sleep(3 * testWriteTimeout)
+	if res := get(t, c, "/empty"); res.StatusCode != http.StatusInternalServerError {
+		t.Fatalf("status %d", res.StatusCode)
+	}
+}
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -43,9 +43,7 @@
 }
 
 func (w *Writer) writeSlice(data []byte) error {
-	if w.timeout > 0 {
-		_ = w.conn.tcp.SetWriteDeadline(time.Now().Add(w.timeout))
-	}
+	w.extend()
 	if _, err := w.res.Write(data); err != nil {
 		return fmt.Errorf("write to caller: %w", err)
 	}
@@ -56,6 +54,13 @@
 	return nil
 }
 
+// extend gives the caller the whole write timeout for the next bytes.
+func (w *Writer) extend() {
+	if w.timeout > 0 {
+		_ = w.conn.tcp.SetWriteDeadline(time.Now().Add(w.timeout))
+	}
+}
+
 // Abort closes the connection, so that a caller in the middle of an answer
 // sees that it is not whole.
 func (w *Writer) Abort() { _ = w.conn.tcp.Close() }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -47,6 +47,7 @@
 	KeyRevocation config.Duration `toml:"key_revocation"` // from taking a key away until it is refused everywhere
 	StopGrace     config.Duration `toml:"stop_grace"`     // from the signal to stop until the process is killed
 	Lease         config.Duration `toml:"lease"`          // of the VM that gives orders to upstreams
+	Fenced        bool            `toml:"fenced"`         // engines refuse orders with an older fencing token
 	Weights       config.Duration `toml:"weights"`        // from naming a weights version until no request begins on an older one
 	RetryRatio    float64         `toml:"retry_ratio"`    // repeated attempts for each request, over all daemons
 	RetryExtra    float64         `toml:"retry_extra"`    // further repeated attempts in a window, over all daemons
