Fetch cache entries from engines known to hold them; keep lanes apart

Change: daemons tell each other which engine computed which prefix under which salt; the balancer weighs what an engine holds, what it can fetch and from where. Long work is kept out of a quarter of the engines; each lane is brought to new weights on its own.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -6,16 +6,23 @@
 	"time"
 
 	"currantpulley/internal/catalog"
+	"currantpulley/internal/placement/holders"
 	"currantpulley/internal/rendezvous"
 )
 
 const (
 	// prefillRate is the number of prompt tokens that an engine computes in a
-	// millisecond.
-	prefillRate = 49.6
-	// requestCost is the time by which one request in an engine delays the
-	// first token of the next one.
-	requestCost = 12 * time.Millisecond
+	// millisecond beside the tokens that it writes.
+	prefillRate = 38
+	// requestCost is the time by which one request that an engine answers delays
+	// the first token of the next one.
+	requestCost = 3 * time.Millisecond
+	// fetchRate is the number of tokens whose cache entries move from one engine
+	// to another in a millisecond.
+	fetchRate = 200
+	// ownerBonus makes prompts with the same parts meet at one engine while
+	// nothing else speaks for one.
+	ownerBonus = 15 * time.Millisecond
 	// callCost is the same for a plain service with all slots in use.
 	callCost = 60 * time.Millisecond
 	// farCost is added for an upstream in another data centre.
@@ -37,8 +44,10 @@
 	// shortLane is the part of the engines that long work leaves to short work
 	// while it can.
 	shortLane = 0.25
-	// laneCost is the delay that keeping short and long work apart is worth.
-	laneCost = 150 * time.Millisecond
+	// longInShort and shortInLong are the delays that are worth keeping long
+	// work out of the engines for short work, and short work out of the others.
+	longInShort = 900 * time.Millisecond
+	shortInLong = 250 * time.Millisecond
 	// fetchMin is the number of shared tokens from which on moving their cache
 	// entries takes less time than computing them.
 	fetchMin = 256
@@ -62,7 +71,9 @@
 
 	mu        sync.Mutex
 	upstreams map[catalog.Key]*state
-	sharedAt  time.Time // when another daemon last told of its work
+	held      *holders.Table // by prefix
+	computed  []computed     // oldest first
+	sharedAt  time.Time      // when another daemon last told of its work
 	sweptAt   time.Time
 }
 
@@ -82,7 +93,7 @@
 
 // New returns a balancer that knows no upstream.
 func New(opts Options) *Balancer {
-	return &Balancer{opts: opts, upstreams: make(map[catalog.Key]*state)}
+	return &Balancer{opts: opts, upstreams: make(map[catalog.Key]*state), held: holders.New(heldMax)}
 }
 
 // Pick chooses an upstream for w and counts the request there. It returns nil
@@ -95,6 +106,9 @@
 		return nil
 	}
 	best.fixed = !w.Movable
+	if w.Prompt != nil && best.Version != 0 {
+		best.prefixes = w.Prompt.prefixes(w.Group, best.Version)
+	}
 	best.state.own.Requests++
 	best.state.own.Tokens += best.tokens
 	if best.fixed {
@@ -128,15 +142,16 @@
 
 // place is where a prompt belongs, the same at every daemon.
 type place struct {
-	owner *catalog.Upstream // engine of the prompt's shared parts
-	short map[string]bool   // ids of the engines that are kept for short work
+	owner    *catalog.Upstream    // engine of the prompt's shared parts
+	short    map[string]bool      // ids of the engines that are kept for short work
+	holdings map[uint64][]holding // by weights version
 }
 
 func (b *Balancer) place(all []*catalog.Upstream, w *Work, now time.Time) place {
 	if w.Prompt == nil {
 		return place{}
 	}
-	p := place{short: lane(all)}
+	p := place{short: lane(all), holdings: make(map[uint64][]holding, 2)}
 	key := rendezvous.Hash(w.Prompt.group())
 	var most uint64
 	for _, u := range all {
@@ -151,6 +166,9 @@
 	return p
 }
 
+// Short reports whether an engine of a service is kept for short work.
+func Short(all []*catalog.Upstream, id string) bool { return lane(all)[id] }
+
 // lane returns the engines that are kept for short work.
 func lane(all []*catalog.Upstream) map[string]bool {
 	names := make([]uint64, len(all))
@@ -186,29 +204,69 @@
 	if !ok {
 		return nil, 0
 	}
-	if at.short[u.ID] == w.Prompt.long() {
-		score += laneCost
-	}
 	p.Version = s.version(u, w.Prompt.Model)
-	p.tokens = uncached(w.Prompt, u == at.owner)
-	p.Fetch = b.source(w.Prompt, u, at.owner, p.Version, now)
-	p.Wait = scale(requestCost, slow*requests) + prefill((tokens+float64(p.tokens))*slow)
-	return p, score + stale + p.Wait
+	score += stale + at.cost(w.Prompt, u)
+	held, fetched := b.reuse(snap, w, u, p, at, now)
+	p.tokens = max(0, w.Prompt.Tokens-held-fetched)
+	p.Wait = scale(requestCost, slow*requests) + prefill((tokens+float64(p.tokens))*slow) + fetch(fetched)
+	return p, score + p.Wait
 }
 
-// source returns the address that u should fetch the prompt's parts from: that
-// of their owner, where it is another engine with the same weights.
-func (b *Balancer) source(p *Prompt, u, owner *catalog.Upstream, version uint64, now time.Time) string {
-	if owner == nil || owner == u || version == 0 {
-		return ""
+// cost returns what keeping kinds of work apart, and alike prompts together,
+// says of u.
+func (at *place) cost(p *Prompt, u *catalog.Upstream) time.Duration {
+	cost := time.Duration(0)
+	switch {
+	case p.long() && at.short[u.ID]:
+		cost = longInShort
+	case !p.long() && !at.short[u.ID]:
+		cost = shortInLong
 	}
-	if b.of(owner.Key(), now).version(owner, p.Model) != version {
-		return ""
+	if u == at.owner {
+		cost -= ownerBonus
 	}
-	if group, before := p.shared(); group+before < fetchMin {
-		return ""
+	return cost
+}
+
+// reuse returns how many of the prompt's tokens u holds, and how many more it
+// can fetch from another engine, whose address it notes in p.
+func (b *Balancer) reuse(snap *catalog.Snapshot, w *Work, u *catalog.Upstream, p *Pick, at place, now time.Time) (held, fetched int) {
+	holdings, ok := at.holdings[p.Version]
+	if !ok {
+		holdings = b.holdings(w, p.Version, now)
+		at.holdings[p.Version] = holdings
 	}
-	return owner.Address
+	held = tokensOf(holdings, u.Key().Short())
+	for _, h := range holdings {
+		if h.tokens < held+fetchMin {
+			break
+		}
+		if source := b.source(snap, w, h.upstream, p.Version, now); source != nil && source != u {
+			p.Fetch = source.Address
+			return held, h.tokens - held
+		}
+	}
+	return held, 0
+}
+
+// source returns the engine with a short name, if it still serves version and
+// nothing speaks against asking it.
+func (b *Balancer) source(snap *catalog.Snapshot, w *Work, short uint32, version uint64, now time.Time) *catalog.Upstream {
+	for _, u := range snap.Of(w.Service) {
+		if u.Key().Short() != short {
+			continue
+		}
+		s := b.of(u.Key(), now)
+		if now.Before(s.pausedUntil) || now.Before(s.closedUntil) || s.version(u, w.Prompt.Model) != version {
+			return nil
+		}
+		return u
+	}
+	return nil
+}
+
+func fetch(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / fetchRate * float64(time.Millisecond))
 }
 
 // work returns the requests at an upstream and the tokens that wait in it.
@@ -237,18 +295,6 @@
 	return 0, true
 }
 
-// uncached returns the tokens of the prompt that an engine presumably has to
-// compute: its owner holds all shared parts, the others those that come before
-// the group's own part, which all groups share.
-func uncached(p *Prompt, owner bool) int {
-	group, before := p.shared()
-	tokens := p.Tokens - before
-	if owner {
-		tokens -= group
-	}
-	return max(0, tokens)
-}
-
 func prefill(tokens float64) time.Duration {
 	return time.Duration(tokens / prefillRate * float64(time.Millisecond))
 }
--- /dev/null
+++ b/internal/balance/held.go
@@ -0,0 +1,122 @@
+package balance
+
+import (
+	"fmt"
+	"time"
+
+	"currantpulley/internal/catalog"
+	"currantpulley/internal/placement/holders"
+	"currantpulley/internal/rendezvous"
+)
+
+const (
+	// heldMax bounds the prefixes whose holders are remembered.
+	heldMax = 4096
+	// heldFor is how long an engine is presumed to keep a prefix.
+	heldFor = 12 * time.Second
+	// computedMax bounds the prefixes that are told to other daemons.
+	computedMax = 64
+)
+
+// Held is an engine that holds a prompt's leading parts.
+type Held struct {
+	Prefix   uint64
+	Upstream uint32 // catalog.Key.Short
+}
+
+// computed is a prefix that an engine has computed for this daemon.
+type computed struct {
+	Held
+	at time.Time
+}
+
+// Salt returns the text under which engines keep the cache entries of a group
+// of workspaces that may share them, made with one weights version.
+func Salt(group string, version uint64) string {
+	return fmt.Sprintf("%s/%d", group, version)
+}
+
+// prefixes returns the hashes of the prompt's leading parts up to each part but
+// the last, which is the request's own.
+func (p *Prompt) prefixes(group string, version uint64) []uint64 {
+	if len(p.Parts) < 2 {
+		return nil
+	}
+	chain := rendezvous.Hash(Salt(group, version) + "/" + p.Model)
+	out := make([]uint64, len(p.Parts)-1)
+	for i := range out {
+		chain = rendezvous.Weight(chain, rendezvous.Hash(p.Parts[i].ID))
+		out[i] = chain
+	}
+	return out
+}
+
+// holding is how many of a prompt's tokens an engine holds.
+type holding struct {
+	upstream uint32
+	tokens   int
+}
+
+// holdings returns the known holders of a prompt's leading parts, made with
+// version, those with most tokens first.
+func (b *Balancer) holdings(w *Work, version uint64, now time.Time) []holding {
+	if version == 0 {
+		return nil
+	}
+	prefixes := w.Prompt.prefixes(w.Group, version)
+	tokens := 0
+	for i := range prefixes {
+		tokens += w.Prompt.Parts[i].Tokens
+	}
+	var out []holding
+	for i := len(prefixes) - 1; i >= 0; i-- {
+		for _, h := range b.held.Find(prefixes[i]) {
+			if now.Sub(h.At) < heldFor && tokensOf(out, uint32(h.Upstream)) == 0 {
+				out = append(out, holding{uint32(h.Upstream), tokens})
+			}
+		}
+		tokens -= w.Prompt.Parts[i].Tokens
+	}
+	return out
+}
+
+// tokensOf returns the tokens that an engine holds.
+func tokensOf(all []holding, upstream uint32) int {
+	for _, h := range all {
+		if h.upstream == upstream {
+			return h.tokens
+		}
+	}
+	return 0
+}
+
+// Holds notes that an engine holds a prefix, as another daemon told.
+func (b *Balancer) Holds(h Held, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held.Confirm(h.Prefix, holders.Holder{Upstream: int32(h.Upstream), At: now})
+}
+
+// Computed returns up to most prefixes that engines computed for this daemon
+// since then, the newest first.
+func (b *Balancer) Computed(since time.Time, most int) []Held {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []Held
+	for i := len(b.computed) - 1; i >= 0 && len(out) < most && b.computed[i].at.After(since); i-- {
+		out = append(out, b.computed[i].Held)
+	}
+	return out
+}
+
+// compute notes that p's engine has computed the prompt's leading parts.
+func (b *Balancer) compute(k catalog.Key, prefixes []uint64, now time.Time) {
+	for _, prefix := range prefixes {
+		h := Held{prefix, k.Short()}
+		b.held.Confirm(prefix, holders.Holder{Upstream: int32(h.Upstream), At: now})
+		b.computed = append(b.computed, computed{h, now})
+	}
+	if extra := len(b.computed) - computedMax; extra > 0 {
+		b.computed = append(b.computed[:0], b.computed[extra:]...)
+	}
+}
--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -7,9 +7,10 @@
 )
 
 // Began notes that the answer to p's request began.
-func (b *Balancer) Began(p *Pick) {
+func (b *Balancer) Began(p *Pick, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.compute(p.Upstream.Key(), p.prefixes, now)
 	p.begin()
 }
 
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -40,19 +40,6 @@
 	}
 }
 
-// shared returns the tokens of the group's part, and of all parts before it.
-func (p *Prompt) shared() (group, before int) {
-	for i, part := range p.Parts {
-		switch {
-		case i < len(p.Parts)-2:
-			before += part.Tokens
-		case i == len(p.Parts)-2:
-			group = part.Tokens
-		}
-	}
-	return group, before
-}
-
 // long reports whether the prompt's computation delays the answers that an
 // engine is writing.
 func (p *Prompt) long() bool { return p.Tokens >= longTokens }
@@ -61,6 +48,7 @@
 type Work struct {
 	Service string
 	Prompt  *Prompt // nil: a plain call
+	Group   string  // of workspaces that may share cache entries
 	Movable bool    // may go on at another upstream once it runs
 	Tried   []catalog.Key
 }
@@ -90,6 +78,7 @@
 	Wait     time.Duration // expected until the first byte
 	Fetch    string        // address of an engine that presumably holds the prompt's parts; empty: none
 	tokens   int           // of the prompt, that are not computed yet
+	prefixes []uint64      // of its leading parts
 	fixed    bool          // can't go on at another upstream
 	state    *state
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"currantpulley/internal/rendezvous"
 )
 
 // Kind tells how often a request of a route may run.
@@ -166,6 +168,11 @@
 	Started int64
 }
 
+// Short returns a short name of the upstream, the same at every daemon.
+func (k Key) Short() uint32 {
+	return uint32(rendezvous.Weight(rendezvous.Hash(k.ID), uint64(k.Started)))
+}
+
 // Key returns the upstream's identity.
 func (u *Upstream) Key() Key { return Key{u.ID, u.Started} }
 
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -14,14 +14,12 @@
 
 	"google.golang.org/grpc"
 
-	"currantpulley/internal/catalog"
 	"currantpulley/internal/control/exchange/exchangepb"
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/event"
 	"currantpulley/internal/failure"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/peer"
-	"currantpulley/internal/rendezvous"
 )
 
 const (
@@ -30,11 +28,13 @@
 	callTimeout  = 300 * time.Millisecond
 	staleSpans   = 4 // periods after which a silent daemon's work is not counted
 	noticeRepeat = time.Second
+	heldSpans    = 2  // periods for which an engine's work is told
+	heldMax      = 16 // entries in one state
 )
 
 // Use is a daemon's own work at one engine.
 type Use struct {
-	Upstream uint32 // IDOf
+	Upstream uint32 // short name of its catalog.Key
 	Requests int
 	Fixed    int // of these, that can't go on at another engine
 	Tokens   int // of prompts that wait for their first token
@@ -50,9 +50,10 @@
 	Token    uint64 // fencing token of the daemon that orders
 }
 
-// IDOf returns the short name of an upstream on the wire.
-func IDOf(k catalog.Key) uint32 {
-	return uint32(rendezvous.Weight(rendezvous.Hash(k.ID), uint64(k.Started)))
+// Held tells that an engine has just computed a prompt's leading parts.
+type Held struct {
+	Prefix   uint64 // hash of the parts and of what keeps cache entries apart
+	Upstream uint32
 }
 
 // Options of an Exchange.
@@ -68,6 +69,11 @@
 	// Apply takes another daemon's work, which holds until the next or for
 	// lifetime.
 	Apply func(vm string, uses []Use, now time.Time, lifetime time.Duration)
+	// Held returns what engines computed for this daemon in the last while, at
+	// most most entries.
+	Held func(while time.Duration, most int) []Held
+	// OnHeld takes what engines computed for another daemon.
+	OnHeld func(held []Held, now time.Time)
 	// OnNotice takes another daemon's notice.
 	OnNotice func(n Notice, now time.Time)
 }
@@ -191,6 +197,9 @@
 			Upstream: u.Upstream, Requests: uint32(u.Requests), Fixed: uint32(u.Fixed), Tokens: uint32(u.Tokens),
 		})
 	}
+	for _, h := range e.opts.Held(heldSpans*period(len(e.opts.View().Live())), heldMax) {
+		s.Held = append(s.Held, &exchangepb.Held{Prefix: h.Prefix, Upstream: h.Upstream})
+	}
 	for id, n := range e.notices {
 		left := n.For - now.Sub(n.at)
 		if now.Sub(n.at) > noticeRepeat || (n.Closed && left <= 0) {
@@ -221,6 +230,11 @@
 	}
 	lifetime := staleSpans * period(len(e.opts.View().Live()))
 	e.opts.Apply(s.GetVm(), uses, now, lifetime)
+	held := make([]Held, 0, len(s.GetHeld()))
+	for _, h := range s.GetHeld() {
+		held = append(held, Held{Prefix: h.GetPrefix(), Upstream: h.GetUpstream()})
+	}
+	e.opts.OnHeld(held, now)
 	for _, n := range s.GetNotices() {
 		e.opts.OnNotice(Notice{
 			Upstream: n.GetUpstream(), Closed: n.GetClosed(), For: time.Duration(n.GetMilliseconds()) * time.Millisecond,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -106,7 +106,7 @@
 func (g *Gateway) attempt(q *request, o Outbound) (*attempt, error) {
 	q.snap = g.opts.Watcher.Load()
 	now := time.Now()
-	work := &balance.Work{Service: q.service.Name, Movable: q.movable(), Tried: q.tried}
+	work := &balance.Work{Service: q.service.Name, Group: q.group(), Movable: q.movable(), Tried: q.tried}
 	if q.service.Engine != nil {
 		work.Prompt = q.Prompt
 	}
@@ -251,18 +251,22 @@
 	})
 }
 
-// salt keeps the cache entries of groups and weights versions apart. Isolated
-// workspaces are groups of their own, all others are one. A request that does
-// not name the version it expects shares no entries.
+// salt keeps the cache entries of groups and weights versions apart. A request
+// that does not name the version it expects shares no entries.
 func salt(q *request, version uint64) string {
 	if version == 0 {
 		return "request " + q.ID
 	}
-	group := "shared"
+	return balance.Salt(q.group(), version)
+}
+
+// group names the workspaces that share cache entries with this one. Isolated
+// workspaces are groups of their own, all others are one.
+func (q *request) group() string {
 	if q.workspace != nil && q.workspace.Isolated {
-		group = "workspace " + q.workspace.Name
+		return "workspace " + q.workspace.Name
 	}
-	return fmt.Sprintf("%s/%d", group, version)
+	return "shared"
 }
 
 // urgencyMax is the least urgent rank that engines know.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,11 @@
 	tried []catalog.Key
 	sends int // that may have reached an upstream
 	runs  int // of these, that may have run
+
+	// Times since the arrival.
+	first time.Duration // until the first byte was relayed
+	last  time.Duration // until the newest part was
+	pause time.Duration // longest one between two parts
 }
 
 // Errors that end a request without an answer of ours.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"currantpulley/internal/balance"
@@ -36,7 +35,8 @@
 		g.done(q, a, f)
 		return f
 	}
-	g.opts.Balancer.Began(a.pick)
+	g.opts.Balancer.Began(a.pick, time.Now())
+	q.relayed()
 	whole := len(head) < wholeMax
 	g.startAnswer(q, a, whole, len(head))
 	if _, err := q.w.Write(head); err != nil {
@@ -82,10 +82,29 @@
 	g.opts.Balancer.Done(a.pick, outcome, time.Now())
 	g.opts.Recorder.Record(event.Event{
 		ID: event.RequestServed, Request: q.ID, Upstream: a.pick.Upstream.ID, Step: "relay",
-		Detail: strings.Join([]string{q.route.Name, strconv.Itoa(a.answer.StatusCode), time.Since(q.arrived).String()}, " "),
+		Detail: q.progress(a),
 	})
 }
 
+// progress describes the request's way for the log: when its first byte was
+// relayed, the longest pause after that, the whole time, and what was expected.
+func (q *request) progress(a *attempt) string {
+	return fmt.Sprintf("route %s, status %d, first %v, pause %v, whole %v, sends %d, expected %v, weights %d",
+		q.route.Name, a.answer.StatusCode, q.first.Round(time.Millisecond), q.pause.Round(time.Millisecond),
+		time.Since(q.arrived).Round(time.Millisecond), q.sends, a.pick.Wait.Round(time.Millisecond), a.pick.Version)
+}
+
+// relayed notes that a part of the answer went to the caller.
+func (q *request) relayed() {
+	since := time.Since(q.arrived)
+	if q.first == 0 {
+		q.first = since
+	} else {
+		q.pause = max(q.pause, since-q.last)
+	}
+	q.last = since
+}
+
 // relayStream passes a stream's events on as they arrive. A stream that breaks
 // off goes on at another upstream where the route allows it.
 func (g *Gateway) relayStream(q *request, a *attempt) error {
@@ -151,12 +170,13 @@
 			continue
 		}
 		if !q.answered {
-			g.opts.Balancer.Began(a.pick)
+			g.opts.Balancer.Began(a.pick, time.Now())
 			g.startAnswer(q, a, false, 0)
 		}
 		if _, err := q.w.Write(e.raw); err != nil {
 			return errCallerGone
 		}
+		q.relayed()
 		*last = max(*last, e.id)
 	}
 }
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -31,6 +31,7 @@
 	OrderedAt time.Time // of that order
 	RetryAt   time.Time // no order before
 	Load      float64   // requests in it
+	Lane      int       // engines of one lane do the same kind of work
 }
 
 // loading reports whether the engine has an order in progress.
@@ -38,16 +39,23 @@
 	return e.Ordered > e.Version && now.Sub(e.OrderedAt) < orderTimeout
 }
 
-// AtOnce returns how many of n engines load weights at once.
+// AtOnce returns how many of n engines of a lane load weights at once.
 func AtOnce(n int) int { return max(1, n/loadShare) }
 
 // Plan returns the engines to order to version wanted now, most urgent first.
 func Plan(engines []Engine, wanted uint64, now time.Time) []catalog.Key {
-	room := AtOnce(len(engines))
+	size := make(map[int]int)
+	for _, e := range engines {
+		size[e.Lane]++
+	}
+	room := make(map[int]int, len(size))
+	for lane, n := range size {
+		room[lane] = AtOnce(n)
+	}
 	var behind []Engine
 	for _, e := range engines {
 		if e.loading(now) {
-			room--
+			room[e.Lane]--
 			continue
 		}
 		if e.Version < wanted && !now.Before(e.RetryAt) {
@@ -58,8 +66,11 @@
 		return cmp.Or(cmp.Compare(a.Version, b.Version), cmp.Compare(a.Load, b.Load), cmp.Compare(a.Key.ID, b.Key.ID))
 	})
 	var chosen []catalog.Key
-	for _, e := range behind[:min(max(0, room), len(behind))] {
-		chosen = append(chosen, e.Key)
+	for _, e := range behind {
+		if room[e.Lane] > 0 {
+			room[e.Lane]--
+			chosen = append(chosen, e.Key)
+		}
 	}
 	return chosen
 }
