Test the platform's adapter and the parts it uses

Cause: the thin path had no tests of its own. Conclusion: the gateway's tests are still to be run through.

--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,74 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+)
+
+func TestPickServiceFollowsWeights(t *testing.T) {
+	r := &Route{Shares: []Share{{"a", 90}, {"b", 0}, {"c", 10}}}
+	count := make(map[string]int)
+	for hash := range uint64(1000) {
+		count[r.PickService(hash)]++
+	}
+	if count["a"] != 900 || count["b"] != 0 || count["c"] != 100 {
+		t.Errorf("%v", count)
+	}
+	if got := (&Route{Shares: []Share{{"a", 0}}}).PickService(1); got != "" {
+		t.Errorf("a service without weight gets requests: %q", got)
+	}
+}
+
+// Each version is judged from its own naming, also when newer ones followed.
+func TestBehindCountsFromTheFirstNewerVersion(t *testing.T) {
+	at := time.Unix(100, 0)
+	w := Wanted{}.add(2, at).add(3, at.Add(4*time.Second))
+	now := at.Add(10 * time.Second)
+	for _, tc := range []struct {
+		version uint64
+		age     time.Duration
+		behind  bool
+	}{{1, 10 * time.Second, true}, {2, 6 * time.Second, true}, {3, 0, false}, {4, 0, false}} {
+		if age, behind := w.Behind(tc.version, now); age != tc.age || behind != tc.behind {
+			t.Errorf("version %d: %v, %t", tc.version, age, behind)
+		}
+	}
+	for v := range uint64(3 * namingsMax) {
+		w = w.add(10+v, now)
+	}
+	if len(w.named) != namingsMax {
+		t.Errorf("%d namings are remembered", len(w.named))
+	}
+}
+
+func TestWatcherNeverGoesBack(t *testing.T) {
+	w := NewWatcher()
+	if !w.SetConfig(&Config{Version: 5}) || w.SetConfig(&Config{Version: 4}) || w.Load().Config.Version != 5 {
+		t.Error("an older configuration was taken")
+	}
+	now := time.Now()
+	if !w.SetWanted("m", 3, now) || w.SetWanted("m", 2, now) || w.Load().Weights["m"].Version != 3 {
+		t.Error("an older weights version was taken")
+	}
+}
+
+// Readers keep a snapshot while it changes.
+func TestSnapshotsAreImmutable(t *testing.T) {
+	w := NewWatcher()
+	w.PutUpstream(&Upstream{ID: "a", Service: "s"})
+	before := w.Load()
+	changed := w.Changed()
+	w.PutUpstream(&Upstream{ID: "b", Service: "s"})
+	w.RemoveUpstream("a")
+	select {
+	case <-changed:
+	default:
+		t.Error("a change was not told")
+	}
+	if len(before.Of("s")) != 1 || before.Of("s")[0].ID != "a" {
+		t.Error("an older snapshot changed")
+	}
+	if now := w.Load().Of("s"); len(now) != 1 || now[0].ID != "b" {
+		t.Errorf("%v", now)
+	}
+}
--- /dev/null
+++ b/internal/control/exchange/exchange_test.go
@@ -0,0 +1,107 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"currantpulley/internal/control/exchange/exchangepb"
+	"currantpulley/internal/fleet"
+)
+
+func view(n int) []fleet.VM {
+	var out []fleet.VM
+	for i := range n {
+		out = append(out, fleet.VM{Name: fmt.Sprintf("vm-%03d", i)})
+	}
+	return out
+}
+
+// Each pair of daemons must meet once a period, called by one of the two.
+func TestEachPairMeetsOnce(t *testing.T) {
+	for n := 1; n <= 24; n++ {
+		met := make(map[[2]string]int)
+		for _, self := range view(n) {
+			calls := firstCallers(view(n), self.Name)
+			if len(calls) > n/2 {
+				t.Errorf("%d daemons: %s calls %d others", n, self.Name, len(calls))
+			}
+			for _, vm := range calls {
+				pair := [2]string{min(self.Name, vm.Name), max(self.Name, vm.Name)}
+				met[pair]++
+			}
+		}
+		for pair, count := range met {
+			if count != 1 || pair[0] == pair[1] {
+				t.Errorf("%d daemons: %v meet %d times", n, pair, count)
+			}
+		}
+		if len(met) != n*(n-1)/2 {
+			t.Errorf("%d daemons: %d pairs meet", n, len(met))
+		}
+	}
+}
+
+func testExchange(applied *[]Use, notices *[]Notice) *Exchange {
+	return New(Options{
+		Self:     "self",
+		View:     func() fleet.View { return fleet.View{Self: "self", VMs: view(3)} },
+		Collect:  func() []Use { return nil },
+		Held:     func(time.Duration, int) []Held { return nil },
+		OnHeld:   func([]Held, time.Time) {},
+		Apply:    func(_ string, uses []Use, _ time.Time, _ time.Duration) { *applied = uses },
+		OnNotice: func(n Notice, _ time.Time) { *notices = append(*notices, n) },
+	})
+}
+
+// Calls overtake each other; an older state must not replace a newer one, and
+// that of a daemon that started again must.
+func TestOlderStatesAreLeftOut(t *testing.T) {
+	var applied []Use
+	var notices []Notice
+	e := testExchange(&applied, &notices)
+	now := time.Now()
+	state := func(incarnation, sequence uint64, requests uint32) *exchangepb.State {
+		return &exchangepb.State{Vm: "vm-001", Incarnation: incarnation, Sequence: sequence,
+			Uses: []*exchangepb.Use{{Upstream: 1, Requests: requests}}}
+	}
+	for _, tc := range []struct {
+		incarnation, sequence uint64
+		requests              uint32
+		want                  int
+	}{{1, 5, 10, 10}, {1, 4, 20, 10}, {1, 5, 30, 10}, {2, 1, 40, 40}, {1, 9, 50, 40}} {
+		e.take(state(tc.incarnation, tc.sequence, tc.requests), now)
+		if applied[0].Requests != tc.want {
+			t.Errorf("after state %d of incarnation %d: %d requests, want %d", tc.sequence, tc.incarnation, applied[0].Requests, tc.want)
+		}
+	}
+}
+
+// A notice is repeated for a while, so that a lost call is made up for, and
+// what is left of its time shrinks.
+func TestNoticesAreRepeatedUntilTheyRunOut(t *testing.T) {
+	var applied []Use
+	var notices []Notice
+	e := testExchange(&applied, &notices)
+	now := time.Now()
+	e.notices[7] = notice{Notice{Upstream: 7, Closed: true, For: 3 * time.Second, Token: 2}, now}
+	s := e.state(now.Add(noticeRepeat / 2))
+	if len(s.GetNotices()) != 1 || s.GetNotices()[0].GetMilliseconds() != 2500 {
+		t.Fatalf("%v", s.GetNotices())
+	}
+	e.take(s, now)
+	if len(notices) != 1 || notices[0].For != 2500*time.Millisecond || notices[0].Token != 2 || !notices[0].Closed {
+		t.Errorf("%+v", notices)
+	}
+	if s := e.state(now.Add(noticeRepeat + 1)); len(s.GetNotices()) != 0 {
+		t.Errorf("%v", s.GetNotices())
+	}
+}
+
+func TestPeriodBoundsTheCallsOfADaemon(t *testing.T) {
+	for _, n := range []int{13, 21, 136, 440} {
+		if calls := float64(n) / 2 / period(n).Seconds(); calls > 51 {
+			t.Errorf("%d daemons: %.0f calls a second", n, calls)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,388 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"currantpulley/internal/balance"
+	"currantpulley/internal/catalog"
+	"currantpulley/internal/event"
+	"currantpulley/internal/freshness"
+	"currantpulley/internal/gateway"
+	"currantpulley/internal/retry"
+	"currantpulley/internal/server"
+	"currantpulley/internal/upstream"
+)
+
+// dialect is a plain one for tests.
+type dialect struct{}
+
+func (dialect) Call(h http.Header) (gateway.Call, error) {
+	c := gateway.Call{ID: h.Get("Id"), Key: h.Get("Key")}
+	if ms, err := strconv.Atoi(h.Get("Budget")); err == nil {
+		c.Budget = time.Duration(ms) * time.Millisecond
+	}
+	return c, nil
+}
+
+func (dialect) Outbound(h http.Header, o gateway.Outbound) {
+	h.Del("Key")
+	h.Set("Workspace", o.Workspace)
+	if o.Resume {
+		h.Set("After", strconv.FormatUint(o.LastEvent, 10))
+	}
+}
+
+func (dialect) Inbound(_ int, h http.Header) gateway.Inbound {
+	return gateway.Inbound{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+// replica is an upstream whose behaviour a test scripts.
+type replica struct {
+	*httptest.Server
+	runs atomic.Int64
+}
+
+func newReplica(t *testing.T, h http.HandlerFunc) *replica {
+	t.Helper()
+	r := &replica{}
+	r.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.runs.Add(1)
+		w.Header().Set("Id", req.Header.Get("Id"))
+		w.Header().Set("Signed", "yes")
+		h(w, req)
+	}))
+	t.Cleanup(r.Close)
+	return r
+}
+
+type fixture struct {
+	watcher *catalog.Watcher
+	proof   *freshness.Proof
+	gateway *gateway.Gateway
+	address string
+}
+
+// start runs a gateway before the replicas, with routes for each kind.
+func start(t *testing.T, replicas ...*replica) *fixture {
+	t.Helper()
+	f := &fixture{watcher: catalog.NewWatcher(), proof: &freshness.Proof{}}
+	f.proof.Extend(freshness.Now())
+	c := &catalog.Config{
+		Version: 1, Routes: make(map[string][]*catalog.Route), NeedsKey: true,
+		Services:   map[string]*catalog.Service{"s": {Name: "s"}},
+		Workspaces: map[string]*catalog.Workspace{"k": {Name: "w", Rank: catalog.RankUnset}},
+	}
+	for prefix, r := range map[string]catalog.Route{
+		"/once/":       {Kind: catalog.Once, MaxAttempts: 1},
+		"/idempotent/": {Kind: catalog.Idempotent, MaxAttempts: 2},
+		"/stream/":     {Kind: catalog.Stream, MaxAttempts: 1},
+		"/resumable/":  {Kind: catalog.Stream, Resumable: true, MaxAttempts: 2},
+		"/public/":     {Kind: catalog.Idempotent, MaxAttempts: 2, Public: true},
+	} {
+		r.Name, r.Host, r.Prefix, r.Timeout = prefix, "127.0.0.1", prefix, time.Second
+		r.Shares = []catalog.Share{{Service: "s", Weight: 1}}
+		c.AddRoute(&r)
+	}
+	f.watcher.SetConfig(c)
+	for i, r := range replicas {
+		f.watcher.PutUpstream(&catalog.Upstream{
+			ID: fmt.Sprint("r", i), Service: "s", Address: strings.TrimPrefix(r.URL, "http://"), Slots: 8,
+		})
+	}
+	f.gateway = gateway.New(gateway.Options{
+		Dialect: dialect{}, Watcher: f.watcher, Balancer: balance.New(balance.Options{}),
+		Transport: upstream.NewTransport(), Recorder: event.Discard{}, Proof: f.proof, ProofMax: time.Minute,
+		Retries: retry.NewWindow(time.Now, 10*time.Second, 0.2, 100, func() int { return 1 }),
+	})
+	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Handler: f.gateway, Limits: func() server.Limits {
+		return server.Limits{MaxBody: 1 << 20, MaxHeader: 1 << 14, MaxConnections: 100, ReadTimeout: time.Second, WriteTimeout: time.Second}
+	}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	f.address = s.Address()
+	return f
+}
+
+// ask sends a request and returns the answer with its whole body.
+func (f *fixture) ask(t *testing.T, path string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+f.address+path, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Id", "id-1")
+	req.Header.Set("Key", "k")
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	res, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return res, string(body), err
+}
+
+func TestAnswerIsRelayedUnchanged(t *testing.T) {
+	r := newReplica(t, func(w http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		if req.Header.Get("Key") != "" || req.Header.Get("Workspace") != "w" || req.URL.RequestURI() != "/once/a%20b?q=1" {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+		w.WriteHeader(http.StatusCreated)
+		_, _ = w.Write(append([]byte("got "), body...))
+	})
+	res, body, err := start(t, r).ask(t, "/once/a%20b?q=1")
+	if err != nil || res.StatusCode != http.StatusCreated || body != "got body" || res.Header.Get("Signed") != "yes" {
+		t.Fatalf("%v %q %v", res, body, err)
+	}
+}
+
+// What a failed replica may have run is repeated only where the route allows
+// it, and a status that promises otherwise is never given.
+func TestFailuresOfReplicas(t *testing.T) {
+	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("half"))
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	crossed := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Id", "id-of-another")
+		_, _ = w.Write([]byte("secret of another"))
+	}
+	unsigned := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Del("Signed")
+		_, _ = w.Write([]byte("not the replica's"))
+	}
+	coded := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Encoding", "x")
+		_, _ = w.Write([]byte("coded"))
+	}
+	broken := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	busy := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	unproved := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	for _, tc := range []struct {
+		name  string
+		path  string
+		fault http.HandlerFunc
+		want  int
+		runs  int64
+	}{
+		{"once, reset", "/once/", abort, http.StatusBadGateway, 1},
+		{"once, cut", "/once/", cut, http.StatusBadGateway, 1},
+		{"once, crossed", "/once/", crossed, http.StatusBadGateway, 1},
+		{"once, unsigned", "/once/", unsigned, http.StatusBadGateway, 1},
+		{"once, coded", "/once/", coded, http.StatusBadGateway, 1},
+		{"once, failed", "/once/", broken, http.StatusInternalServerError, 1},
+		{"once, refused", "/once/", busy, http.StatusServiceUnavailable, 2},
+		{"once, refused without proof", "/once/", unproved, http.StatusServiceUnavailable, 1},
+		{"idempotent, reset", "/idempotent/", abort, http.StatusBadGateway, 2},
+		{"idempotent, cut", "/idempotent/", cut, http.StatusBadGateway, 2},
+		{"idempotent, crossed", "/idempotent/", crossed, http.StatusBadGateway, 2},
+		{"idempotent, failed", "/idempotent/", broken, http.StatusInternalServerError, 2},
+		{"stream, reset", "/stream/", abort, http.StatusBadGateway, 1},
+		{"resumable, reset", "/resumable/", abort, http.StatusBadGateway, 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			a, b := newReplica(t, tc.fault), newReplica(t, tc.fault)
+			res, body, err := start(t, a, b).ask(t, tc.path)
+			if err != nil || res.StatusCode != tc.want {
+				t.Fatalf("%v %q %v, want %d", res, body, err, tc.want)
+			}
+			if strings.Contains(body, "secret") || strings.Contains(body, "half") {
+				t.Errorf("body %q", body)
+			}
+			if runs := a.runs.Load() + b.runs.Load(); runs != tc.runs {
+				t.Errorf("%d runs, want %d", runs, tc.runs)
+			}
+		})
+	}
+}
+
+// The first replica fails, the second one answers.
+func TestIdempotentRequestIsServedByAnother(t *testing.T) {
+	var first sync.Once
+	h := func(w http.ResponseWriter, _ *http.Request) {
+		failed := false
+		first.Do(func() { failed = true })
+		if failed {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_, _ = w.Write([]byte("ok"))
+	}
+	res, body, err := start(t, newReplica(t, h), newReplica(t, h)).ask(t, "/idempotent/")
+	if err != nil || res.StatusCode != http.StatusOK || body != "ok" {
+		t.Fatalf("%v %q %v", res, body, err)
+	}
+}
+
+func events(w http.ResponseWriter, from, to int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := from; i <= to; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		w.(http.Flusher).Flush()
+	}
+}
+
+func TestStreamIsRelayedUnchanged(t *testing.T) {
+	r := newReplica(t, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 3) })
+	_, body, err := start(t, r).ask(t, "/stream/")
+	if want := "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n"; err != nil || body != want {
+		t.Fatalf("%q %v", body, err)
+	}
+}
+
+// A stream that breaks off, also in the middle of an event, goes on at another
+// replica where it may be resumed, and looks incomplete where it may not.
+func TestBrokenStream(t *testing.T) {
+	var first sync.Once
+	h := func(w http.ResponseWriter, req *http.Request) {
+		broken := false
+		first.Do(func() { broken = true })
+		if !broken {
+			after, _ := strconv.Atoi(req.Header.Get("After"))
+			events(w, after+1, 4)
+			return
+		}
+		events(w, 1, 2)
+		_, _ = w.Write([]byte("id: 3\ndata: pie"))
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, body, err := start(t, newReplica(t, h), newReplica(t, h)).ask(t, "/resumable/")
+	var want bytes.Buffer
+	for i := 1; i <= 4; i++ {
+		_, _ = fmt.Fprintf(&want, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	if err != nil || body != want.String() {
+		t.Fatalf("%q %v", body, err)
+	}
+	first = sync.Once{}
+	if _, body, err := start(t, newReplica(t, h), newReplica(t, h)).ask(t, "/stream/"); err == nil {
+		t.Fatalf("a broken stream looks complete: %q", body)
+	}
+}
+
+// Keys must not be accepted when they may have been taken away meanwhile.
+func TestKeysAreRefusedWhenNotProved(t *testing.T) {
+	r := newReplica(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
+	f := start(t, r)
+	*f.proof = freshness.Proof{}
+	f.proof.Extend(freshness.Now().Add(-2 * time.Minute))
+	for path, want := range map[string]int{
+		"/once/": http.StatusServiceUnavailable, "/public/": http.StatusOK, "/unknown/": http.StatusServiceUnavailable,
+	} {
+		if res, body, err := f.ask(t, path); err != nil || res.StatusCode != want {
+			t.Errorf("%s: %v %q %v, want %d", path, res, body, err, want)
+		}
+	}
+	if f.gateway.Ready() {
+		t.Error("the daemon is ready though it accepts no key")
+	}
+	f.proof.Extend(freshness.Now())
+	for path, want := range map[string]int{"/once/": http.StatusOK, "/unknown/": http.StatusNotFound} {
+		if res, _, err := f.ask(t, path); err != nil || res.StatusCode != want {
+			t.Errorf("%s: %v %v, want %d", path, res, err, want)
+		}
+	}
+	if res, _, err := f.ask(t, "/once/", "Key", "unknown"); err != nil || res.StatusCode != http.StatusUnauthorized {
+		t.Errorf("%v %v", res, err)
+	}
+}
+
+// Before the first configuration nobody knows what is allowed.
+func TestNoConfigurationPromisesNotRun(t *testing.T) {
+	f := start(t)
+	*f.watcher = *catalog.NewWatcher()
+	res, _, err := f.ask(t, "/once/")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" {
+		t.Fatalf("%v %v", res, err)
+	}
+}
+
+// A stopping daemon refuses late requests instead of cutting them, and ends
+// each connection.
+func TestStoppingDaemonRefuses(t *testing.T) {
+	r := newReplica(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
+	f := start(t, r)
+	f.gateway.Drain()
+	c, err := net.Dial("tcp", f.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = fmt.Fprintf(c, "GET /public/ HTTP/1.1\r\nHost: 127.0.0.1\r\nId: x\r\n\r\n")
+	in := bufio.NewReader(c)
+	res, err := http.ReadResponse(in, nil)
+	if err != nil || res.StatusCode != http.StatusOK || !res.Close {
+		t.Fatalf("%v %v", res, err)
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	if _, err := in.ReadByte(); err == nil {
+		t.Error("the connection goes on")
+	}
+	f.gateway.Refuse()
+	if res, _, err := f.ask(t, "/public/"); err != nil || res.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("%v %v", res, err)
+	}
+}
+
+// A caller that goes away must not leave its request running.
+func TestCallerGoneEndsTheRun(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	r := newReplica(t, func(_ http.ResponseWriter, req *http.Request) {
+		close(began)
+		<-req.Context().Done()
+		close(ended)
+	})
+	f := start(t, r)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-began; cancel() }()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.address+"/public/", http.NoBody)
+	if res, err := http.DefaultClient.Do(req); err == nil {
+		_ = res.Body.Close()
+		t.Fatal("an answer came")
+	}
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Fatal("the run goes on")
+	}
+}
+
+// Past its deadline a request gets its final answer at once.
+func TestDeadline(t *testing.T) {
+	r := newReplica(t, func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() })
+	f := start(t, r)
+	began := time.Now()
+	res, _, err := f.ask(t, "/once/", "Budget", "100")
+	if err != nil || res.StatusCode != http.StatusGatewayTimeout {
+		t.Fatalf("%v %v", res, err)
+	}
+	if took := time.Since(began); took > 300*time.Millisecond {
+		t.Errorf("answered after %v", took)
+	}
+}
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,67 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+// Daemons that share an allowance keep to it in every span, while all attempts
+// fail and requests come in waves.
+func TestWindowsKeepTheSharedAllowance(t *testing.T) {
+	const (
+		span  = 10 * time.Second
+		ratio = 0.2
+		extra = 135.0
+	)
+	properties := gopter.NewProperties(nil)
+	properties.Property("extra attempts in any span stay within the bound", prop.ForAll(func(daemons int, rates []int) bool {
+		now := time.Unix(1000, 0)
+		var all []*Window
+		for range daemons {
+			all = append(all, NewWindow(func() time.Time { return now }, span, ratio, extra, func() int { return daemons }))
+		}
+		const tick = 100 * time.Millisecond
+		var requests, extras []int
+		for _, rate := range rates {
+			for range 20 {
+				asked, granted := 0, 0
+				for _, w := range all {
+					for range rate {
+						w.Request()
+						asked++
+						for w.Allow() {
+							granted++
+						}
+					}
+				}
+				requests, extras = append(requests, asked), append(extras, granted)
+				now = now.Add(tick)
+			}
+		}
+		return withinBound(requests, extras, int(span/tick), ratio, extra)
+	}, gen.IntRange(1, 21), gen.SliceOfN(12, gen.IntRange(0, 4))))
+	properties.TestingRun(t)
+}
+
+// withinBound checks every span of n ticks; requests of the span before count
+// where there were more.
+func withinBound(requests, extras []int, n int, ratio, extra float64) bool {
+	for from := range extras {
+		sum, asked, before := 0, 0, 0
+		for i := from; i < min(from+n, len(extras)); i++ {
+			sum += extras[i]
+			asked += requests[i]
+		}
+		for i := max(0, from-n); i < from; i++ {
+			before += requests[i]
+		}
+		if float64(sum) > ratio*float64(max(asked, before))+extra {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/rollout/plan_test.go
@@ -0,0 +1,121 @@
+package rollout
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"currantpulley/internal/catalog"
+)
+
+var planNow = time.Unix(1000, 0)
+
+func engines(versions ...uint64) []Engine {
+	var out []Engine
+	for i, v := range versions {
+		out = append(out, Engine{Key: catalog.Key{ID: fmt.Sprintf("e%02d", i)}, Version: v})
+	}
+	return out
+}
+
+func ids(keys []catalog.Key) []string {
+	var out []string
+	for _, k := range keys {
+		out = append(out, k.ID)
+	}
+	return out
+}
+
+func TestPlan(t *testing.T) {
+	loading := engines(1, 1, 1, 1, 1, 1, 1, 1)
+	loading[3].Ordered, loading[3].OrderedAt = 2, planNow.Add(-time.Second)
+	stuck := engines(1, 1, 1, 1)
+	stuck[0].Ordered, stuck[0].OrderedAt = 2, planNow.Add(-orderTimeout)
+	paused := engines(1, 1, 1, 1)
+	paused[0].RetryAt = planNow.Add(time.Second)
+	lanes := engines(1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1)
+	for i := range 3 {
+		lanes[i].Lane = 1
+	}
+	busy := engines(1, 1, 1, 1)
+	busy[0].Load = 5
+	for _, tc := range []struct {
+		name    string
+		engines []Engine
+		wanted  uint64
+		want    []string
+	}{
+		{"nothing behind", engines(2, 2, 2), 2, nil},
+		{"a quarter at once", engines(1, 1, 1, 1, 1, 1, 1, 1), 2, []string{"e00", "e01"}},
+		{"one of few", engines(1, 1), 2, []string{"e00"}},
+		{"furthest behind first", engines(2, 2, 1, 2), 3, []string{"e02"}},
+		{"overtaken version skipped", engines(1, 3, 3, 3), 3, []string{"e00"}},
+		{"room taken by a load", loading, 2, []string{"e00"}},
+		{"an order without effect is given again", stuck, 2, []string{"e00"}},
+		{"not before the retry", paused, 2, []string{"e01"}},
+		{"least busy first", busy, 2, []string{"e01"}},
+		{"lanes side by side", lanes, 2, []string{"e00", "e03", "e04"}},
+	} {
+		if got := ids(Plan(tc.engines, tc.wanted, planNow)); !slices.Equal(got, tc.want) {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// A series of versions that are named faster than all engines can load them
+// must still bring every engine forward: none stays behind longer than one
+// whole round takes.
+func TestNoEngineStarvesUnderAStreamOfVersions(t *testing.T) {
+	const (
+		n      = 12
+		load   = 700 * time.Millisecond
+		every  = 3 * time.Second
+		tick   = 50 * time.Millisecond
+		rounds = 40
+	)
+	all := engines(make([]uint64, n)...)
+	for i := range all {
+		all[i].Version = 1
+	}
+	since := make(map[uint64]time.Time)
+	now, wanted, worst := planNow, uint64(1), time.Duration(0)
+	done := make(map[int]time.Time)
+	for step := range int(every/tick) * rounds {
+		if step%int(every/tick) == 0 {
+			wanted++
+			since[wanted] = now
+		}
+		for i, at := range done {
+			if !now.Before(at) {
+				all[i].Version, all[i].Ordered = all[i].Ordered, 0
+				delete(done, i)
+			}
+		}
+		for _, k := range Plan(all, wanted, now) {
+			i := slices.IndexFunc(all, func(e Engine) bool { return e.Key == k })
+			all[i].Ordered, all[i].OrderedAt = wanted, now
+			done[i] = now.Add(load)
+		}
+		for _, e := range all {
+			if at, ok := since[e.Version+1]; ok {
+				worst = max(worst, now.Sub(at))
+			}
+		}
+		now = now.Add(tick)
+	}
+	if bound := 2 * every; worst > bound {
+		t.Errorf("an engine was behind for %v, more than %v", worst, bound)
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{18, 1500} {
+		b.Run(fmt.Sprintf("engines=%d", n), func(b *testing.B) {
+			all := engines(make([]uint64, n)...)
+			for b.Loop() {
+				Plan(all, 1, planNow)
+			}
+		})
+	}
+}
