Tell daemons that start since when weights are wanted; count suspends

Change: namings carry their time; one found at a start is presumed old, daemons correct it from each other; the expected wait counts against the bound; times of naming are read on the clock that counts suspends.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -54,6 +54,9 @@
 	// sharedMax is the time without word of any other daemon after which loads
 	// that answers carry are used instead.
 	sharedMax = time.Second
+	// staleWait is how much longer than expected a request may wait in an engine
+	// before it begins.
+	staleWait = 2
 	// forgetAfter is how long the state of an upstream without requests is kept.
 	forgetAfter = 30 * time.Second
 )
@@ -200,16 +203,16 @@
 		p.Wait = scale(callCost, slow*requests/float64(max(1, u.Slots)))
 		return p, score + p.Wait
 	}
-	stale, ok := b.stale(snap, s, u, w.Prompt.Model, now)
-	if !ok {
-		return nil, 0
-	}
 	p.Version = s.version(u, w.Prompt.Model)
-	score += stale + at.cost(w.Prompt, u)
+	score += at.cost(w.Prompt, u)
 	held, fetched := b.reuse(snap, w, u, p, at, now)
 	p.tokens = max(0, w.Prompt.Tokens-held-fetched)
 	p.Wait = scale(requestCost, slow*requests) + prefill((tokens+float64(p.tokens))*slow) + fetch(fetched)
-	return p, score + p.Wait
+	stale, ok := b.stale(snap, w, p, now)
+	if !ok {
+		return nil, 0
+	}
+	return p, score + stale + p.Wait
 }
 
 // cost returns what keeping kinds of work apart, and alike prompts together,
@@ -279,14 +282,14 @@
 	return requests + float64(others.Requests), tokens + float64(others.Tokens)
 }
 
-// stale returns what speaks against u's weights, and false when they are too old.
-func (b *Balancer) stale(snap *catalog.Snapshot, s *state, u *catalog.Upstream, model string, now time.Time) (time.Duration, bool) {
-	version := s.version(u, model)
-	age, behind := snap.Weights[model].Behind(version, now)
-	if !behind || version == 0 {
+// stale returns what speaks against the weights that p's engine serves, and
+// false when the request would begin on them too late.
+func (b *Balancer) stale(snap *catalog.Snapshot, w *Work, p *Pick, now time.Time) (time.Duration, bool) {
+	age, behind := snap.Weights[w.Prompt.Model].Behind(p.Version, now)
+	if !behind || p.Version == 0 {
 		return 0, true
 	}
-	if b.opts.StaleRefused > 0 && age > b.opts.StaleRefused {
+	if b.opts.StaleRefused > 0 && age+scale(p.Wait, staleWait) > b.opts.StaleRefused {
 		return 0, false
 	}
 	if age > staleAfter {
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -3,7 +3,8 @@
 // rendezvous hashing, the same at every daemon, unless another one would begin
 // to answer sooner; a plain call goes to the replica with the least work.
 //
-// The decisions do no I/O and read no clock.
+// The decisions do no I/O and read no clock. The times that callers pass are
+// readings of one clock that counts suspends, see freshness.Time.
 package balance
 
 import (
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -182,19 +182,32 @@
 	named   []naming // the last ones, oldest first
 }
 
-// naming is when this daemon learned of a version.
+// naming is when a version was named, as far as this daemon knows.
 type naming struct {
-	version uint64
-	at      time.Time
+	version  uint64
+	at       time.Time
+	presumed bool // nobody was heard who saw it
 }
 
 // namingsMax bounds the versions whose naming is remembered.
 const namingsMax = 16
 
 // add returns w with a newer version.
-func (w Wanted) add(version uint64, at time.Time) Wanted {
-	named := append(slices.Clone(w.named), naming{version, at})
-	return Wanted{Version: version, named: named[max(0, len(named)-namingsMax):]}
+func (w Wanted) add(n naming) Wanted {
+	named := append(slices.Clone(w.named), n)
+	return Wanted{Version: n.version, named: named[max(0, len(named)-namingsMax):]}
+}
+
+// correct returns w with the time of a naming that was only presumed, and
+// whether that changed anything.
+func (w Wanted) correct(version uint64, at time.Time) (Wanted, bool) {
+	i := slices.IndexFunc(w.named, func(n naming) bool { return n.version == version && n.presumed })
+	if i < 0 {
+		return w, false
+	}
+	w.named = slices.Clone(w.named)
+	w.named[i] = naming{version: version, at: at}
+	return w, true
 }
 
 // Behind returns for how long a newer version than version has been named at
@@ -207,3 +220,20 @@
 	}
 	return 0, false
 }
+
+// Naming is a weights version and when it was named.
+type Naming struct {
+	Version uint64
+	At      time.Time
+}
+
+// Namings returns up to most of the newest namings that are not presumed.
+func (w Wanted) Namings(most int) []Naming {
+	var out []Naming
+	for i := len(w.named) - 1; i >= 0 && len(out) < most; i-- {
+		if n := w.named[i]; !n.presumed {
+			out = append(out, Naming{n.version, n.at})
+		}
+	}
+	return out
+}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -22,7 +22,7 @@
 // Each version is judged from its own naming, also when newer ones followed.
 func TestBehindCountsFromTheFirstNewerVersion(t *testing.T) {
 	at := time.Unix(100, 0)
-	w := Wanted{}.add(2, at).add(3, at.Add(4*time.Second))
+	w := Wanted{}.add(naming{version: 2, at: at}).add(naming{version: 3, at: at.Add(4 * time.Second)})
 	now := at.Add(10 * time.Second)
 	for _, tc := range []struct {
 		version uint64
@@ -34,7 +34,7 @@
 		}
 	}
 	for v := range uint64(3 * namingsMax) {
-		w = w.add(10+v, now)
+		w = w.add(naming{version: 10 + v, at: now})
 	}
 	if len(w.named) != namingsMax {
 		t.Errorf("%d namings are remembered", len(w.named))
@@ -72,3 +72,20 @@
 		t.Errorf("%v", now)
 	}
 }
+
+// A daemon that starts does not know since when a version is wanted; what it
+// presumes gives way to what another daemon saw, and only that.
+func TestPresumedNamingGivesWay(t *testing.T) {
+	at := time.Unix(100, 0)
+	w := NewWatcher()
+	w.PresumeWanted("m", 2, at)
+	if n := w.Load().Weights["m"].Namings(4); len(n) != 0 {
+		t.Errorf("a presumed time is told to others: %v", n)
+	}
+	w.CorrectWanted("m", 3, at.Add(time.Second))
+	w.CorrectWanted("m", 2, at.Add(2*time.Second))
+	w.CorrectWanted("m", 2, at.Add(3*time.Second))
+	if n := w.Load().Weights["m"].Namings(4); len(n) != 1 || !n[0].At.Equal(at.Add(2*time.Second)) {
+		t.Errorf("%v", n)
+	}
+}
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -61,22 +61,49 @@
 
 // SetWanted names the newest weights version of a model. An older version
 // than the one known is left out; it reports whether the version was taken.
-func (w *Watcher) SetWanted(model string, version uint64, now time.Time) bool {
+func (w *Watcher) SetWanted(model string, version uint64, at time.Time) bool {
+	return w.setWanted(model, naming{version: version, at: at})
+}
+
+// PresumeWanted names the newest weights version of a model, when nothing says
+// since when it is.
+func (w *Watcher) PresumeWanted(model string, version uint64, at time.Time) bool {
+	return w.setWanted(model, naming{version: version, at: at, presumed: true})
+}
+
+func (w *Watcher) setWanted(model string, n naming) bool {
 	taken := false
 	w.update(func(s *Snapshot) {
-		if s.Weights[model].Version >= version {
+		if s.Weights[model].Version >= n.version {
 			return
 		}
-		s.Weights = maps.Clone(s.Weights)
-		if s.Weights == nil {
-			s.Weights = make(map[string]Wanted)
-		}
-		s.Weights[model] = s.Weights[model].add(version, now)
+		s.setWeights(model, s.Weights[model].add(n))
 		taken = true
 	})
 	return taken
 }
 
+// CorrectWanted takes the time at which a version was named from another
+// daemon, where this one only presumed it.
+func (w *Watcher) CorrectWanted(model string, version uint64, at time.Time) {
+	if _, wrong := w.Load().Weights[model].correct(version, at); !wrong {
+		return
+	}
+	w.update(func(s *Snapshot) {
+		if wanted, wrong := s.Weights[model].correct(version, at); wrong {
+			s.setWeights(model, wanted)
+		}
+	})
+}
+
+func (s *Snapshot) setWeights(model string, wanted Wanted) {
+	s.Weights = maps.Clone(s.Weights)
+	if s.Weights == nil {
+		s.Weights = make(map[string]Wanted)
+	}
+	s.Weights[model] = wanted
+}
+
 // PutUpstream adds or replaces an upstream.
 func (w *Watcher) PutUpstream(u *Upstream) {
 	w.update(func(s *Snapshot) {
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -56,6 +56,13 @@
 	Upstream uint32
 }
 
+// Naming tells since when a weights version is wanted.
+type Naming struct {
+	Model   string
+	Weights uint64
+	Age     time.Duration
+}
+
 // Options of an Exchange.
 type Options struct {
 	Loop     *loop.Loop
@@ -68,14 +75,18 @@
 	Collect func() []Use
 	// Apply takes another daemon's work, which holds until the next or for
 	// lifetime.
-	Apply func(vm string, uses []Use, now time.Time, lifetime time.Duration)
+	Apply func(vm string, uses []Use, lifetime time.Duration)
 	// Held returns what engines computed for this daemon in the last while, at
 	// most most entries.
 	Held func(while time.Duration, most int) []Held
 	// OnHeld takes what engines computed for another daemon.
-	OnHeld func(held []Held, now time.Time)
+	OnHeld func(held []Held)
+	// Namings returns the newest weights versions that this daemon saw named.
+	Namings func() []Naming
+	// OnNaming takes what another daemon saw named.
+	OnNaming func(n Naming)
 	// OnNotice takes another daemon's notice.
-	OnNotice func(n Notice, now time.Time)
+	OnNotice func(n Notice)
 }
 
 // Exchange runs the protocol. Its state belongs to the control goroutine.
@@ -175,14 +186,14 @@
 		e.opts.Recorder.Record(event.Event{ID: event.LoadSpreadFailed, Peer: vm.Name, Step: "exchange", Err: failure.At("exchange", vm.Name, err)})
 		return
 	}
-	e.opts.Loop.Post(func(now time.Time) { e.take(state, now) })
+	e.opts.Loop.Post(func(time.Time) { e.take(state) })
 }
 
 // Tell implements the service.
 func (e *Exchange) Tell(ctx context.Context, s *exchangepb.State) (*exchangepb.State, error) {
 	var reply *exchangepb.State
 	err := e.opts.Loop.Do(ctx, func(now time.Time) {
-		e.take(s, now)
+		e.take(s)
 		reply = e.state(now)
 	})
 	return reply, err
@@ -200,6 +211,9 @@
 	for _, h := range e.opts.Held(heldSpans*period(len(e.opts.View().Live())), heldMax) {
 		s.Held = append(s.Held, &exchangepb.Held{Prefix: h.Prefix, Upstream: h.Upstream})
 	}
+	for _, n := range e.opts.Namings() {
+		s.Namings = append(s.Namings, &exchangepb.Naming{Model: n.Model, Weights: n.Weights, AgeMs: uint32(n.Age.Milliseconds())})
+	}
 	for id, n := range e.notices {
 		left := n.For - now.Sub(n.at)
 		if now.Sub(n.at) > noticeRepeat || (n.Closed && left <= 0) {
@@ -216,7 +230,7 @@
 
 // take applies another daemon's state, unless a newer one was applied. Runs on
 // the control goroutine.
-func (e *Exchange) take(s *exchangepb.State, now time.Time) {
+func (e *Exchange) take(s *exchangepb.State) {
 	old := e.heard[s.GetVm()]
 	if s.GetIncarnation() < old.incarnation || (s.GetIncarnation() == old.incarnation && s.GetSequence() <= old.sequence) {
 		return
@@ -229,16 +243,19 @@
 		})
 	}
 	lifetime := staleSpans * period(len(e.opts.View().Live()))
-	e.opts.Apply(s.GetVm(), uses, now, lifetime)
+	e.opts.Apply(s.GetVm(), uses, lifetime)
 	held := make([]Held, 0, len(s.GetHeld()))
 	for _, h := range s.GetHeld() {
 		held = append(held, Held{Prefix: h.GetPrefix(), Upstream: h.GetUpstream()})
 	}
-	e.opts.OnHeld(held, now)
+	e.opts.OnHeld(held)
+	for _, n := range s.GetNamings() {
+		e.opts.OnNaming(Naming{n.GetModel(), n.GetWeights(), time.Duration(n.GetAgeMs()) * time.Millisecond})
+	}
 	for _, n := range s.GetNotices() {
 		e.opts.OnNotice(Notice{
 			Upstream: n.GetUpstream(), Closed: n.GetClosed(), For: time.Duration(n.GetMilliseconds()) * time.Millisecond,
 			Model: n.GetModel(), Weights: n.GetWeights(), Token: n.GetToken(),
-		}, now)
+		})
 	}
 }
--- a/internal/control/exchange/exchange_test.go
+++ b/internal/control/exchange/exchange_test.go
@@ -48,9 +48,11 @@
 		View:     func() fleet.View { return fleet.View{Self: "self", VMs: view(3)} },
 		Collect:  func() []Use { return nil },
 		Held:     func(time.Duration, int) []Held { return nil },
-		OnHeld:   func([]Held, time.Time) {},
-		Apply:    func(_ string, uses []Use, _ time.Time, _ time.Duration) { *applied = uses },
-		OnNotice: func(n Notice, _ time.Time) { *notices = append(*notices, n) },
+		OnHeld:   func([]Held) {},
+		Namings:  func() []Naming { return nil },
+		OnNaming: func(Naming) {},
+		Apply:    func(_ string, uses []Use, _ time.Duration) { *applied = uses },
+		OnNotice: func(n Notice) { *notices = append(*notices, n) },
 	})
 }
 
@@ -60,7 +62,6 @@
 	var applied []Use
 	var notices []Notice
 	e := testExchange(&applied, &notices)
-	now := time.Now()
 	state := func(incarnation, sequence uint64, requests uint32) *exchangepb.State {
 		return &exchangepb.State{Vm: "vm-001", Incarnation: incarnation, Sequence: sequence,
 			Uses: []*exchangepb.Use{{Upstream: 1, Requests: requests}}}
@@ -70,7 +71,7 @@
 		requests              uint32
 		want                  int
 	}{{1, 5, 10, 10}, {1, 4, 20, 10}, {1, 5, 30, 10}, {2, 1, 40, 40}, {1, 9, 50, 40}} {
-		e.take(state(tc.incarnation, tc.sequence, tc.requests), now)
+		e.take(state(tc.incarnation, tc.sequence, tc.requests))
 		if applied[0].Requests != tc.want {
 			t.Errorf("after state %d of incarnation %d: %d requests, want %d", tc.sequence, tc.incarnation, applied[0].Requests, tc.want)
 		}
@@ -89,7 +90,7 @@
 	if len(s.GetNotices()) != 1 || s.GetNotices()[0].GetMilliseconds() != 2500 {
 		t.Fatalf("%v", s.GetNotices())
 	}
-	e.take(s, now)
+	e.take(s)
 	if len(notices) != 1 || notices[0].For != 2500*time.Millisecond || notices[0].Token != 2 || !notices[0].Closed {
 		t.Errorf("%+v", notices)
 	}
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -29,6 +29,10 @@
 	return Instant(t.Nano())
 }
 
+// Time reads the clock as a time.Time, for code that only compares its
+// readings with each other. It is not the time of day.
+func Time() time.Time { return time.Unix(0, int64(Now())) }
+
 // Proof is the latest instant up to which the configuration is known to be the
 // newest. The zero value proves nothing. It is safe for concurrent use.
 type Proof struct{ at atomic.Int64 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"currantpulley/internal/balance"
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/event"
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/failure"
 	"currantpulley/internal/refusal"
 	"currantpulley/internal/upstream"
@@ -105,7 +106,7 @@
 // attempt picks an upstream and returns the head of its answer.
 func (g *Gateway) attempt(q *request, o Outbound) (*attempt, error) {
 	q.snap = g.opts.Watcher.Load()
-	now := time.Now()
+	now := freshness.Time()
 	work := &balance.Work{Service: q.service.Name, Group: q.group(), Movable: q.movable(), Tried: q.tried}
 	if q.service.Engine != nil {
 		work.Prompt = q.Prompt
@@ -206,7 +207,7 @@
 
 // check refuses an answer that is no answer to the request.
 func (g *Gateway) check(q *request, a *attempt) error {
-	now := time.Now()
+	now := freshness.Time()
 	key := a.pick.Upstream.Key()
 	if a.head.Load != nil {
 		g.opts.Balancer.Reported(key, *a.head.Load, now)
@@ -244,7 +245,7 @@
 	if q.ctx.Err() != nil {
 		outcome = balance.Cancelled
 	}
-	g.opts.Balancer.Done(a.pick, outcome, time.Now())
+	g.opts.Balancer.Done(a.pick, outcome, freshness.Time())
 	g.opts.Recorder.Record(event.Event{
 		ID: event.AttemptFailed, Request: q.ID, Upstream: a.pick.Upstream.ID,
 		Step: "send", Err: failure.At("send", a.pick.Upstream.Address, err),
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -375,7 +375,10 @@
 
 // Past its deadline a request gets its final answer at once.
 func TestDeadline(t *testing.T) {
-	r := newReplica(t, func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() })
+	r := newReplica(t, func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body) // a server notices that its caller is gone once the body is read
+		<-req.Context().Done()
+	})
 	f := start(t, r)
 	began := time.Now()
 	res, _, err := f.ask(t, "/once/", "Budget", "100")
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -11,6 +11,7 @@
 	"currantpulley/internal/balance"
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/event"
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/upstream"
 )
 
@@ -35,12 +36,12 @@
 		g.done(q, a, f)
 		return f
 	}
-	g.opts.Balancer.Began(a.pick, time.Now())
+	g.opts.Balancer.Began(a.pick, freshness.Time())
 	q.relayed()
 	whole := len(head) < wholeMax
 	g.startAnswer(q, a, whole, len(head))
 	if _, err := q.w.Write(head); err != nil {
-		g.opts.Balancer.Done(a.pick, balance.Cancelled, time.Now())
+		g.opts.Balancer.Done(a.pick, balance.Cancelled, freshness.Time())
 		return errCallerGone
 	}
 	if whole {
@@ -79,7 +80,7 @@
 	if a.answer.StatusCode >= http.StatusInternalServerError {
 		outcome = balance.Failed
 	}
-	g.opts.Balancer.Done(a.pick, outcome, time.Now())
+	g.opts.Balancer.Done(a.pick, outcome, freshness.Time())
 	g.opts.Recorder.Record(event.Event{
 		ID: event.RequestServed, Request: q.ID, Upstream: a.pick.Upstream.ID, Step: "relay",
 		Detail: q.progress(a),
@@ -117,7 +118,7 @@
 			return nil
 		}
 		if errors.Is(err, errCallerGone) {
-			g.opts.Balancer.Done(a.pick, balance.Cancelled, time.Now())
+			g.opts.Balancer.Done(a.pick, balance.Cancelled, freshness.Time())
 			return err
 		}
 		f := &failedAttempt{offered: true, err: err}
@@ -170,7 +171,7 @@
 			continue
 		}
 		if !q.answered {
-			g.opts.Balancer.Began(a.pick, time.Now())
+			g.opts.Balancer.Began(a.pick, freshness.Time())
 			g.startAnswer(q, a, false, 0)
 		}
 		if _, err := q.w.Write(e.raw); err != nil {
