--- a/bench/actions/log.go
+++ b/bench/actions/log.go
@@ -9,8 +9,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/time/rate"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/fake/memlog"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -41,16 +41,16 @@
 	l.SetDown(down)
 }
 
-// Append implements platform.Log.
+// Append implements backing.Log.
 func (l *limitedLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	sent := time.Now()
 	time.Sleep(oneWay)
 	if l.down.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	}
 	if !l.limiter.Allow() {
 		l.refused.Add(1)
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	}
 	l.appended.Add(1)
 	offset, err := l.Log.Append(ctx, stream, data)
@@ -69,8 +69,8 @@
 	return l.trips.ValueAtQuantile(50)
 }
 
-// Read implements platform.Log.
-func (l *limitedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) ([]platform.Record, error) {
+// Read implements backing.Log.
+func (l *limitedLog) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) ([]backing.Record, error) {
 	time.Sleep(oneWay)
 	records, err := l.Log.Read(ctx, stream, from, limit, wait)
 	time.Sleep(oneWay)
--- a/bench/cluster/cluster.go
+++ b/bench/cluster/cluster.go
@@ -17,13 +17,13 @@
 
 	"currantpulley/bench/measure"
 	"currantpulley/bench/site"
+	"currantpulley/internal/backing"
 	"currantpulley/internal/config"
 	"currantpulley/internal/daemon"
 	"currantpulley/internal/fake/fakeengine"
 	"currantpulley/internal/fake/fakehttp"
 	"currantpulley/internal/fake/fakevms"
 	"currantpulley/internal/pipe"
-	"currantpulley/internal/platform"
 	"currantpulley/internal/settings"
 )
 
@@ -106,7 +106,7 @@
 		return err
 	}
 	number := clusters.Add(1)
-	var listed []platform.ListedVM
+	var listed []backing.ListedVM
 	for i := range c.opts.Site.Daemons {
 		ip := host(number, i)
 		s := settings.Defaults()
@@ -117,7 +117,7 @@
 		s.PeerAddress = s.PeerListen
 		s.Platform.VMList = "http://" + address
 		c.vms = append(c.vms, s)
-		listed = append(listed, platform.ListedVM{Name: s.VM, PeerAddress: s.PeerAddress, DataCentre: s.DataCentre})
+		listed = append(listed, backing.ListedVM{Name: s.VM, PeerAddress: s.PeerAddress, DataCentre: s.DataCentre})
 	}
 	list.Set(listed)
 	return nil
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -13,11 +13,11 @@
 	"time"
 
 	"currantpulley/internal/admin"
+	"currantpulley/internal/backing"
 	"currantpulley/internal/fake/fakeengine"
 	"currantpulley/internal/fake/fakehttp"
 	"currantpulley/internal/fake/fakelog"
 	"currantpulley/internal/fake/fakevms"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -77,9 +77,9 @@
 func (fl *fleet) standIns(f *flags) error {
 	fl.log.SetFaults(fakelog.Faults{AppendDelayMS: int(f.append.Milliseconds())})
 	list := fakevms.New(listLag)
-	var vms []platform.ListedVM
+	var vms []backing.ListedVM
 	for i := range f.daemons {
-		vms = append(vms, platform.ListedVM{Name: vmName(i), PeerAddress: peerAddress(i), DataCentre: dataCentre(i)})
+		vms = append(vms, backing.ListedVM{Name: vmName(i), PeerAddress: peerAddress(i), DataCentre: dataCentre(i)})
 	}
 	list.Set(vms)
 	_, logAddress, err := fakehttp.Serve("127.0.0.1:0", fl.log)
--- a/bench/fleet/publications.go
+++ b/bench/fleet/publications.go
@@ -9,10 +9,10 @@
 	"slices"
 	"time"
 
+	"currantpulley/internal/backing/httplog"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/publish"
 	"currantpulley/internal/fake/fakelog"
-	"currantpulley/internal/platform/httplog"
 )
 
 // kind is what a publication meets.
--- a/bench/slopes/control.go
+++ b/bench/slopes/control.go
@@ -13,6 +13,7 @@
 
 	"google.golang.org/grpc"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/loads"
 	"currantpulley/internal/control/loop"
@@ -20,7 +21,6 @@
 	"currantpulley/internal/control/usage"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/peer"
-	"currantpulley/internal/platform"
 	"currantpulley/internal/snapshot"
 	"currantpulley/internal/timeline"
 	"currantpulley/internal/upstream"
@@ -160,7 +160,7 @@
 
 func startFleet(ctx context.Context, size controlSize) ([]*node, error) {
 	var nodes []*node
-	var seeds []platform.ListedVM
+	var seeds []backing.ListedVM
 	sites := size.daemons / size.siteSize
 	for i := range size.daemons {
 		calls := newCallStats()
@@ -172,7 +172,7 @@
 		pool := peer.NewPool(nil, grpc.WithStatsHandler(calls), clock.ClientOption(loads.ServiceName, usage.ServiceName))
 		n := &node{server: server, pool: pool, calls: calls}
 		nodes = append(nodes, n)
-		seeds = append(seeds, platform.ListedVM{
+		seeds = append(seeds, backing.ListedVM{
 			Name: fmt.Sprintf("vm-%03d.example", i), PeerAddress: server.Address(), DataCentre: centreOf(i, sites),
 		})
 	}
@@ -201,7 +201,7 @@
 }
 
 // start wires a daemon's control parts as the daemon does.
-func (n *node) start(ctx context.Context, seeds []platform.ListedVM, i int, site string, engines map[string]*config.Upstream) {
+func (n *node) start(ctx context.Context, seeds []backing.ListedVM, i int, site string, engines map[string]*config.Upstream) {
 	mailbox := loop.New()
 	self := fleet.VM{Name: seeds[i].Name, PeerAddress: seeds[i].PeerAddress, DataCentre: seeds[i].DataCentre, Site: site}
 	shared := loads.New(loads.Options{
--- a/internal/platform/httplog/httplog.go
+++ b/internal/backing/httplog/httplog.go
@@ -15,8 +15,8 @@
 	"sync/atomic"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/failure"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -26,13 +26,13 @@
 	stepBounds = "read bounds of log"
 )
 
-// Log is a platform.Log over HTTP.
+// Log is a backing.Log over HTTP.
 type Log struct {
 	base   string
 	client *http.Client
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ backing.Log = (*Log)(nil)
 
 // New returns a Log at base, such as "http://10.0.0.1:9000". A nil client
 // means a client of its own. Redirects are never followed.
@@ -49,7 +49,7 @@
 	return l.base + "/log/" + url.PathEscape(stream) + strings.Join(more, "")
 }
 
-// Append implements platform.Log.
+// Append implements backing.Log.
 func (l *Log) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	offset, err := l.append(ctx, stream, data)
 	return offset, failure.At(stepAppend, l.base, err)
@@ -62,33 +62,33 @@
 	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, l.url(stream), bytes.NewReader(data))
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 	}
 	// Without GetBody the transport never sends the record a second time.
 	req.GetBody = nil
 	req.Header.Set("Content-Type", "application/octet-stream")
 	resp, err := l.client.Do(req)
 	if err != nil && !sent.Load() {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 	}
 	if err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+		return 0, fmt.Errorf("%w: %w", backing.ErrUnknownOutcome, err)
 	}
 	defer closeBody(resp)
 	if refused(resp.StatusCode) {
-		return 0, fmt.Errorf("%w: status %s", platform.ErrUnavailable, resp.Status)
+		return 0, fmt.Errorf("%w: status %s", backing.ErrUnavailable, resp.Status)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("%w: status %s", platform.ErrUnknownOutcome, resp.Status)
+		return 0, fmt.Errorf("%w: status %s", backing.ErrUnknownOutcome, resp.Status)
 	}
 	var answer struct {
 		Offset uint64 `json:"offset"`
 	}
 	if err := decode(resp.Body, &answer); err != nil {
-		return 0, fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, err)
+		return 0, fmt.Errorf("%w: %w", backing.ErrUnknownOutcome, err)
 	}
 	if answer.Offset == 0 {
-		return 0, fmt.Errorf("%w: the answer has no offset", platform.ErrUnknownOutcome)
+		return 0, fmt.Errorf("%w: the answer has no offset", backing.ErrUnknownOutcome)
 	}
 	return answer.Offset, nil
 }
@@ -98,8 +98,8 @@
 	return status >= http.StatusBadRequest && status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) ([]platform.Record, error) {
+// Read implements backing.Log.
+func (l *Log) Read(ctx context.Context, stream string, from uint64, limit int, wait time.Duration) ([]backing.Record, error) {
 	query := url.Values{
 		"from":    {strconv.FormatUint(from, 10)},
 		"limit":   {strconv.Itoa(limit)},
@@ -115,17 +115,17 @@
 	if err := l.get(ctx, l.url(stream, "?", query.Encode()), &answer); err != nil {
 		return nil, failure.At(stepRead, l.base, err)
 	}
-	records := make([]platform.Record, 0, len(answer.Records))
+	records := make([]backing.Record, 0, len(answer.Records))
 	for i, r := range answer.Records {
 		if r.Offset != from+uint64(i) {
-			return nil, failure.Atf(stepRead, l.base, "%w: offset %d where %d was due", platform.ErrUnavailable, r.Offset, from+uint64(i))
+			return nil, failure.Atf(stepRead, l.base, "%w: offset %d where %d was due", backing.ErrUnavailable, r.Offset, from+uint64(i))
 		}
-		records = append(records, platform.Record{Offset: r.Offset, At: r.At, Data: r.Data})
+		records = append(records, backing.Record{Offset: r.Offset, At: r.At, Data: r.Data})
 	}
 	return records, nil
 }
 
-// Bounds implements platform.Log.
+// Bounds implements backing.Log.
 func (l *Log) Bounds(ctx context.Context, stream string) (first, next uint64, err error) {
 	var answer struct {
 		First uint64 `json:"first"`
@@ -140,22 +140,22 @@
 func (l *Log) get(ctx context.Context, address string, answer any) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 	}
 	resp, err := l.client.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 	}
 	defer closeBody(resp)
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusGone:
-		return platform.ErrTrimmed
+		return backing.ErrTrimmed
 	default:
-		return fmt.Errorf("%w: status %s", platform.ErrUnavailable, resp.Status)
+		return fmt.Errorf("%w: status %s", backing.ErrUnavailable, resp.Status)
 	}
 	if err := decode(resp.Body, answer); err != nil {
-		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+		return fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 	}
 	return nil
 }
--- a/internal/platform/httplog/httplog_test.go
+++ b/internal/backing/httplog/httplog_test.go
@@ -8,8 +8,8 @@
 	"testing"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/fake/fakelog"
-	"currantpulley/internal/platform"
 )
 
 func serve(t *testing.T, h http.Handler) *Log {
@@ -32,22 +32,22 @@
 		handler http.Handler
 		want    error
 	}{
-		"refused by rate":     {answer(429, ""), platform.ErrUnavailable},
-		"refused by outage":   {answer(503, ""), platform.ErrUnavailable},
-		"refused as invalid":  {answer(413, ""), platform.ErrUnavailable},
-		"reset after sending": {http.HandlerFunc(reset), platform.ErrUnknownOutcome},
-		"server error":        {answer(500, ""), platform.ErrUnknownOutcome},
-		"gateway timeout":     {answer(504, ""), platform.ErrUnknownOutcome},
-		"redirected":          {answer(307, ""), platform.ErrUnknownOutcome},
-		"malformed answer":    {answer(200, `{"offset":`), platform.ErrUnknownOutcome},
-		"answer of no offset": {answer(200, `{}`), platform.ErrUnknownOutcome},
+		"refused by rate":     {answer(429, ""), backing.ErrUnavailable},
+		"refused by outage":   {answer(503, ""), backing.ErrUnavailable},
+		"refused as invalid":  {answer(413, ""), backing.ErrUnavailable},
+		"reset after sending": {http.HandlerFunc(reset), backing.ErrUnknownOutcome},
+		"server error":        {answer(500, ""), backing.ErrUnknownOutcome},
+		"gateway timeout":     {answer(504, ""), backing.ErrUnknownOutcome},
+		"redirected":          {answer(307, ""), backing.ErrUnknownOutcome},
+		"malformed answer":    {answer(200, `{"offset":`), backing.ErrUnknownOutcome},
+		"answer of no offset": {answer(200, `{}`), backing.ErrUnknownOutcome},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := serve(t, c.handler).Append(context.Background(), "s", []byte("x"))
 			if !errors.Is(err, c.want) {
 				t.Fatalf("got %v, want %v", err, c.want)
 			}
-			if errors.Is(err, platform.ErrUnavailable) && errors.Is(err, platform.ErrUnknownOutcome) {
+			if errors.Is(err, backing.ErrUnavailable) && errors.Is(err, backing.ErrUnknownOutcome) {
 				t.Fatalf("%v is both", err)
 			}
 		})
@@ -57,7 +57,7 @@
 func TestAppendToNobodyIsUnavailable(t *testing.T) {
 	s := httptest.NewServer(http.HandlerFunc(reset))
 	s.Close()
-	if _, err := New(s.URL, nil).Append(context.Background(), "s", nil); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := New(s.URL, nil).Append(context.Background(), "s", nil); !errors.Is(err, backing.ErrUnavailable) {
 		t.Fatalf("got %v", err)
 	}
 }
@@ -68,7 +68,7 @@
 		cancel()
 		<-r.Context().Done()
 	}))
-	if _, err := l.Append(ctx, "s", nil); !errors.Is(err, platform.ErrUnknownOutcome) {
+	if _, err := l.Append(ctx, "s", nil); !errors.Is(err, backing.ErrUnknownOutcome) {
 		t.Fatalf("got %v", err)
 	}
 }
@@ -90,14 +90,14 @@
 	if first, next, err := l.Bounds(ctx, "a/b"); err != nil || first != 3 || next != 4 {
 		t.Fatalf("bounds: %d, %d, %v", first, next, err)
 	}
-	if _, err := l.Read(ctx, "a/b", 2, 1, 0); !errors.Is(err, platform.ErrTrimmed) {
+	if _, err := l.Read(ctx, "a/b", 2, 1, 0); !errors.Is(err, backing.ErrTrimmed) {
 		t.Fatalf("read of a trimmed offset: %v", err)
 	}
 	if records, err := l.Read(ctx, "a/b", 4, 9, time.Millisecond); err != nil || len(records) != 0 {
 		t.Fatalf("read at the end: %v, %v", records, err)
 	}
 	fake.SetFaults(fakelog.Faults{Outage: true})
-	if _, err := l.Read(ctx, "a/b", 3, 1, 0); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := l.Read(ctx, "a/b", 3, 1, 0); !errors.Is(err, backing.ErrUnavailable) {
 		t.Fatalf("read in an outage: %v", err)
 	}
 }
@@ -105,7 +105,7 @@
 func TestReadWaitsForAnAppend(t *testing.T) {
 	ctx := context.Background()
 	l := serve(t, fakelog.New())
-	read := make(chan []platform.Record)
+	read := make(chan []backing.Record)
 	go func() {
 		records, _ := l.Read(ctx, "s", 1, 1, time.Minute)
 		read <- records
@@ -124,7 +124,7 @@
 	l := serve(t, fake)
 	for i, faults := range []fakelog.Faults{{LoseBefore: 1}, {LoseAfter: 1}} {
 		fake.SetFaults(faults)
-		if _, err := l.Append(ctx, "s", nil); !errors.Is(err, platform.ErrUnknownOutcome) {
+		if _, err := l.Append(ctx, "s", nil); !errors.Is(err, backing.ErrUnknownOutcome) {
 			t.Fatalf("%+v: %v", faults, err)
 		}
 		if _, next, _ := l.Bounds(ctx, "s"); next != uint64(1+i) {
@@ -135,7 +135,7 @@
 
 func TestRecordsOutOfOrderAreAnError(t *testing.T) {
 	l := serve(t, answer(200, `{"records":[{"offset":7}]}`))
-	if _, err := l.Read(context.Background(), "s", 1, 9, 0); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := l.Read(context.Background(), "s", 1, 9, 0); !errors.Is(err, backing.ErrUnavailable) {
 		t.Fatalf("got %v", err)
 	}
 }
--- a/internal/platform/httpvms/httpvms.go
+++ b/internal/backing/httpvms/httpvms.go
@@ -9,8 +9,8 @@
 	"net/http"
 	"strings"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/failure"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -18,13 +18,13 @@
 	step      = "read VM list"
 )
 
-// List is a platform.VMList over HTTP.
+// List is a backing.VMList over HTTP.
 type List struct {
 	base   string
 	client *http.Client
 }
 
-var _ platform.VMList = (*List)(nil)
+var _ backing.VMList = (*List)(nil)
 
 // New returns a List at base, such as "http://10.0.0.1:9000". A nil client
 // means http.DefaultClient.
@@ -35,16 +35,16 @@
 	return &List{base: strings.TrimRight(base, "/"), client: client}
 }
 
-// List implements platform.VMList.
-func (l *List) List(ctx context.Context) ([]platform.ListedVM, error) {
+// List implements backing.VMList.
+func (l *List) List(ctx context.Context) ([]backing.ListedVM, error) {
 	vms, err := l.list(ctx)
 	if err != nil {
-		return nil, failure.Atf(step, l.base, "%w: %w", platform.ErrUnavailable, err)
+		return nil, failure.Atf(step, l.base, "%w: %w", backing.ErrUnavailable, err)
 	}
 	return vms, nil
 }
 
-func (l *List) list(ctx context.Context) ([]platform.ListedVM, error) {
+func (l *List) list(ctx context.Context) ([]backing.ListedVM, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.base+"/vms", nil)
 	if err != nil {
 		return nil, err
@@ -57,7 +57,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("status %s", resp.Status)
 	}
-	var vms []platform.ListedVM
+	var vms []backing.ListedVM
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&vms); err != nil {
 		return nil, fmt.Errorf("decode answer: %w", err)
 	}
--- a/internal/platform/httpvms/httpvms_test.go
+++ b/internal/backing/httpvms/httpvms_test.go
@@ -8,16 +8,16 @@
 	"testing"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/fake/fakevms"
-	"currantpulley/internal/platform"
 )
 
 func TestListShowsWhatWasSet(t *testing.T) {
 	fake := fakevms.New(0)
 	s := httptest.NewServer(fake)
 	defer s.Close()
-	want := platform.ListedVM{Name: "a", PeerAddress: "127.0.0.1:1", DataCentre: "d", Leaving: true}
-	fake.Set([]platform.ListedVM{want})
+	want := backing.ListedVM{Name: "a", PeerAddress: "127.0.0.1:1", DataCentre: "d", Leaving: true}
+	fake.Set([]backing.ListedVM{want})
 	vms, err := New(s.URL, nil).List(context.Background())
 	if err != nil || len(vms) != 1 || vms[0] != want {
 		t.Fatalf("got %v, %v", vms, err)
@@ -28,7 +28,7 @@
 	fake := fakevms.New(time.Hour)
 	s := httptest.NewServer(fake)
 	defer s.Close()
-	fake.Set([]platform.ListedVM{{Name: "a", PeerAddress: "127.0.0.1:1"}})
+	fake.Set([]backing.ListedVM{{Name: "a", PeerAddress: "127.0.0.1:1"}})
 	if vms, err := New(s.URL, nil).List(context.Background()); err != nil || len(vms) != 0 {
 		t.Fatalf("got %v, %v", vms, err)
 	}
@@ -44,7 +44,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := httptest.NewServer(handler)
 			defer s.Close()
-			if _, err := New(s.URL, nil).List(context.Background()); !errors.Is(err, platform.ErrUnavailable) {
+			if _, err := New(s.URL, nil).List(context.Background()); !errors.Is(err, backing.ErrUnavailable) {
 				t.Fatalf("got %v", err)
 			}
 		})
--- a/internal/platform/platform.go
+++ b/internal/backing/platform.go
@@ -1,6 +1,6 @@
-// Package platform holds the interfaces of what the platform gives: the
+// Package backing holds the interfaces of what the platform gives: the
 // append-only log, the list of VMs and the weight store.
-package platform
+package backing
 
 import (
 	"context"
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -115,9 +115,8 @@
 
 // AddRoute adds a route in its place.
 func (c *Config) AddRoute(r *Route) {
-	list := append(c.Routes[r.Host], r)
-	slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
-	c.Routes[r.Host] = list
+	c.Routes[r.Host] = append(c.Routes[r.Host], r)
+	slices.SortStableFunc(c.Routes[r.Host], func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 }
 
 // Match returns the route of host with the longest prefix of path, nil if
--- a/internal/cli/publish.go
+++ b/internal/cli/publish.go
@@ -9,9 +9,9 @@
 	"sync"
 	"time"
 
+	"currantpulley/internal/backing/httplog"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/publish"
-	"currantpulley/internal/platform/httplog"
 )
 
 const (
--- a/internal/cli/publish_test.go
+++ b/internal/cli/publish_test.go
@@ -9,13 +9,13 @@
 	"strings"
 	"testing"
 
+	"currantpulley/internal/backing/httplog"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/control/publish"
 	"currantpulley/internal/fake/fakelog"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/peer"
-	"currantpulley/internal/platform/httplog"
 )
 
 // refuseWeights refuses every version but the first.
--- a/internal/control/calls/calls.go
+++ b/internal/control/calls/calls.go
@@ -18,13 +18,13 @@
 
 	"google.golang.org/grpc"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/calls/callspb"
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/peer"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -45,7 +45,7 @@
 // Options are what a Calls needs. All are required.
 type Options struct {
 	Loop     *loop.Loop
-	Log      platform.Log
+	Log      backing.Log
 	Pool     *peer.Pool
 	View     func() fleet.View     // safe for concurrent use
 	Config   func() *config.Config // in force; nil: none yet; safe for concurrent use
@@ -137,7 +137,7 @@
 	ctx, stop := context.WithCancel(c.ctx)
 	s := &served{
 		stream: newStream(n, streamsOf(c.Config()), later(c.started, c.forgot[n])),
-		name:   platform.StreamCalls + strconv.Itoa(n), usedAt: now, stop: stop, wasUp: true,
+		name:   backing.StreamCalls + strconv.Itoa(n), usedAt: now, stop: stop, wasUp: true,
 	}
 	c.streams[n] = s
 	go c.follow(ctx, s)
@@ -223,7 +223,7 @@
 // candidates returns the daemons that may append for stream n, first choice
 // first.
 func candidates(live []fleet.VM, n int) []fleet.VM {
-	return fleet.Owners(live, platform.StreamCalls+strconv.Itoa(n), candidateCount)
+	return fleet.Owners(live, backing.StreamCalls+strconv.Itoa(n), candidateCount)
 }
 
 func streamsOf(cfg *config.Config) int {
--- a/internal/control/calls/follow.go
+++ b/internal/control/calls/follow.go
@@ -5,9 +5,9 @@
 	"errors"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/event"
 	"currantpulley/internal/logrecord"
-	"currantpulley/internal/platform"
 )
 
 // follow reads a stream and hands what it read to the loop until ctx ends.
@@ -23,7 +23,7 @@
 			c.change(s, func(now time.Time) { s.halt(now, err) })
 			return
 		}
-		if !errors.Is(err, platform.ErrTrimmed) {
+		if !errors.Is(err, backing.ErrTrimmed) {
 			c.change(s, s.readFailed)
 		}
 		if !sleep(ctx, readRetry) {
@@ -41,7 +41,7 @@
 	for {
 		contact := time.Now()
 		records, err := c.readOn(ctx, s.name, next)
-		if errors.Is(err, platform.ErrTrimmed) {
+		if errors.Is(err, backing.ErrTrimmed) {
 			c.change(s, func(now time.Time) { s.unload(now) })
 		}
 		if err != nil {
@@ -64,7 +64,7 @@
 	}
 }
 
-func (c *Calls) readOn(ctx context.Context, name string, next uint64) ([]platform.Record, error) {
+func (c *Calls) readOn(ctx context.Context, name string, next uint64) ([]backing.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*readWait)
 	defer cancel()
 	return c.Log.Read(ctx, name, next, readLimit, readWait)
--- a/internal/control/calls/load.go
+++ b/internal/control/calls/load.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/control/calls/callspb"
 	"currantpulley/internal/failure"
 	"currantpulley/internal/logrecord"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -27,7 +27,7 @@
 // load finds where a new reader of a stream may start: at the latest
 // snapshot, else at the first record. Records that were trimmed without a
 // snapshot count until horizon after the first one that is left.
-func load(ctx context.Context, log platform.Log, stream string, now time.Time, horizon time.Duration) (*loaded, error) {
+func load(ctx context.Context, log backing.Log, stream string, now time.Time, horizon time.Duration) (*loaded, error) {
 	first, next, err := log.Bounds(ctx, stream)
 	if err != nil {
 		return nil, failure.At("read bounds of a stream of calls", stream, err)
@@ -55,7 +55,7 @@
 }
 
 // latestSnapshot looks for a reference to a snapshot in the last records.
-func latestSnapshot(ctx context.Context, log platform.Log, stream string, first, next uint64) (*callspb.SnapshotRef, error) {
+func latestSnapshot(ctx context.Context, log backing.Log, stream string, first, next uint64) (*callspb.SnapshotRef, error) {
 	from := first
 	if next > first+tailRecords {
 		from = next - tailRecords
@@ -87,7 +87,7 @@
 
 // loadSnapshot collects the chunks of a snapshot. The records between its
 // offset and its last chunk are applied by the reader afterwards.
-func loadSnapshot(ctx context.Context, log platform.Log, stream string, ref *callspb.SnapshotRef) (*loaded, error) {
+func loadSnapshot(ctx context.Context, log backing.Log, stream string, ref *callspb.SnapshotRef) (*loaded, error) {
 	l := &loaded{machine: newMachine(), next: ref.AsOf + 1, latest: ref}
 	found, count := 0, -1
 	for at := l.next; at <= ref.Last; {
--- a/internal/control/calls/saving.go
+++ b/internal/control/calls/saving.go
@@ -4,8 +4,8 @@
 	"math/rand/v2"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/control/calls/callspb"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -42,7 +42,7 @@
 }
 
 // sawRecord counts the chunks of a snapshot, whoever wrote it.
-func (s *stream) sawRecord(r platform.Record, b *callspb.Batch) {
+func (s *stream) sawRecord(r backing.Record, b *callspb.Batch) {
 	s.bytes += len(r.Data)
 	c := b.Chunk
 	if c == nil {
--- a/internal/control/calls/stream.go
+++ b/internal/control/calls/stream.go
@@ -8,8 +8,8 @@
 
 	"golang.org/x/time/rate"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/control/calls/callspb"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -222,10 +222,10 @@
 
 // read applies records, which must be contiguous. Contact is when the read
 // was sent, if the stream held no more; else zero.
-func (s *stream) read(now time.Time, records []platform.Record, contact time.Time) error {
+func (s *stream) read(now time.Time, records []backing.Record, contact time.Time) error {
 	for _, r := range records {
 		if r.Offset != s.next {
-			return platform.ErrTrimmed
+			return backing.ErrTrimmed
 		}
 		b, err := decode(r.Data)
 		if err != nil {
@@ -241,7 +241,7 @@
 	return nil
 }
 
-func (s *stream) applyBatch(now time.Time, r platform.Record, b *callspb.Batch) {
+func (s *stream) applyBatch(now time.Time, r backing.Record, b *callspb.Batch) {
 	s.machine.advance(r.At)
 	for _, e := range b.Entries {
 		s.answer(now, e, s.machine.apply(e))
@@ -299,7 +299,7 @@
 // appended takes the end of an append.
 func (s *stream) appended(now time.Time, f *flight, err error) {
 	s.flights = slices.DeleteFunc(s.flights, func(other *flight) bool { return other == f })
-	if errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknownOutcome) {
+	if errors.Is(err, backing.ErrUnavailable) && !errors.Is(err, backing.ErrUnknownOutcome) {
 		s.retryAt = now.Add(appendRetry)
 		for _, sub := range f.subs {
 			sub.reply(s.refusal(now, sub.entry, notAppended(sub)))
--- a/internal/control/calls/world_test.go
+++ b/internal/control/calls/world_test.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/control/calls/callspb"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fake/memlog"
-	"currantpulley/internal/platform"
 	"currantpulley/internal/refusal"
 )
 
@@ -17,7 +17,7 @@
 	worldNodes   = 3
 	worldKeys    = 2
 	worldHorizon = 10 * time.Minute
-	worldStream  = platform.StreamCalls + "0"
+	worldStream  = backing.StreamCalls + "0"
 )
 
 // pauses are the steps of the world's clock.
@@ -325,7 +325,7 @@
 	switch {
 	case err == nil:
 		_ = s.read(w.now, records, w.now)
-	case errors.Is(err, platform.ErrTrimmed):
+	case errors.Is(err, backing.ErrTrimmed):
 		s.unload(w.now)
 	default:
 		s.readFailed(w.now)
--- a/internal/control/lease/lease.go
+++ b/internal/control/lease/lease.go
@@ -11,12 +11,12 @@
 	"errors"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/control/lease/leasepb"
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/event"
 	"currantpulley/internal/failure"
 	"currantpulley/internal/logrecord"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -34,7 +34,7 @@
 // Options are what Leases need. All are required.
 type Options struct {
 	Loop     *loop.Loop
-	Log      platform.Log
+	Log      backing.Log
 	Self     string // name of this VM
 	Recorder event.Recorder
 }
@@ -134,9 +134,9 @@
 	data, err := logrecord.Encode(recordVersion, r)
 	if err == nil {
 		ctx, cancel := context.WithTimeout(l.ctx, appendTimeout)
-		_, err = l.Log.Append(ctx, platform.StreamLeases, data)
+		_, err = l.Log.Append(ctx, backing.StreamLeases, data)
 		cancel()
-		refused = errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrUnknownOutcome)
+		refused = errors.Is(err, backing.ErrUnavailable) && !errors.Is(err, backing.ErrUnknownOutcome)
 	}
 	l.Loop.Post(func(time.Time) { l.table.Appended(r, refused) })
 }
@@ -186,10 +186,10 @@
 	}
 }
 
-func (l *Leases) readOn(ctx context.Context, from uint64) ([]platform.Record, error) {
+func (l *Leases) readOn(ctx context.Context, from uint64) ([]backing.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*readWait)
 	defer cancel()
-	return l.Log.Read(ctx, platform.StreamLeases, from, readLimit, readWait)
+	return l.Log.Read(ctx, backing.StreamLeases, from, readLimit, readWait)
 }
 
 // load returns the offset to read from. A reader that starts anew goes back
@@ -199,9 +199,9 @@
 	if err := l.Loop.Do(ctx, func(time.Time) { next = l.table.next }); err != nil {
 		return 0, err
 	}
-	first, end, err := l.Log.Bounds(ctx, platform.StreamLeases)
+	first, end, err := l.Log.Bounds(ctx, backing.StreamLeases)
 	if err != nil {
-		return 0, failure.At("read bounds of leases", platform.StreamLeases, err)
+		return 0, failure.At("read bounds of leases", backing.StreamLeases, err)
 	}
 	if next >= first {
 		return next, nil
@@ -222,9 +222,9 @@
 	var last time.Time
 	for from > first {
 		at := max(first, from-min(from, readLimit))
-		records, err := l.Log.Read(ctx, platform.StreamLeases, at, int(from-at), 0)
+		records, err := l.Log.Read(ctx, backing.StreamLeases, at, int(from-at), 0)
 		if err != nil {
-			return 0, failure.At("read last leases", platform.StreamLeases, err)
+			return 0, failure.At("read last leases", backing.StreamLeases, err)
 		}
 		if len(records) == 0 {
 			break
--- a/internal/control/lease/table.go
+++ b/internal/control/lease/table.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/control/lease/leasepb"
 	"currantpulley/internal/logrecord"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -196,10 +196,10 @@
 func (t *Table) Next() uint64 { return t.next }
 
 // Read applies contiguous records.
-func (t *Table) Read(now time.Time, records []platform.Record) error {
+func (t *Table) Read(now time.Time, records []backing.Record) error {
 	for _, record := range records {
 		if record.Offset != t.next {
-			return platform.ErrTrimmed
+			return backing.ErrTrimmed
 		}
 		r := new(leasepb.Record)
 		if err := logrecord.Decode(recordVersion, record.Data, r); err != nil {
--- a/internal/control/lease/table_test.go
+++ b/internal/control/lease/table_test.go
@@ -5,10 +5,10 @@
 	"testing"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/control/lease/leasepb"
 	"currantpulley/internal/fake/memlog"
 	"currantpulley/internal/logrecord"
-	"currantpulley/internal/platform"
 )
 
 const testLease = 10 * time.Second
@@ -49,7 +49,7 @@
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	if _, err := d.log.Append(context.Background(), platform.StreamLeases, data); err != nil {
+	if _, err := d.log.Append(context.Background(), backing.StreamLeases, data); err != nil {
 		d.t.Fatal(err)
 	}
 }
@@ -57,7 +57,7 @@
 func (d *daemons) readAll() {
 	d.t.Helper()
 	for _, table := range d.tables {
-		records, err := d.log.Read(context.Background(), platform.StreamLeases, table.Next(), 100, 0)
+		records, err := d.log.Read(context.Background(), backing.StreamLeases, table.Next(), 100, 0)
 		if err != nil {
 			d.t.Fatal(err)
 		}
@@ -182,7 +182,7 @@
 
 func TestBadRecordStops(t *testing.T) {
 	d := newDaemons(t, 1)
-	if err := d.tables[0].Read(d.now, []platform.Record{{Offset: 1, Data: []byte("damaged")}}); err == nil {
+	if err := d.tables[0].Read(d.now, []backing.Record{{Offset: 1, Data: []byte("damaged")}}); err == nil {
 		t.Fatal("a damaged record was read")
 	}
 }
--- a/internal/control/membership/converge_test.go
+++ b/internal/control/membership/converge_test.go
@@ -10,11 +10,11 @@
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
 
+	"currantpulley/internal/backing"
 	pb "currantpulley/internal/control/membership/membershippb"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fake/property"
 	"currantpulley/internal/fleet"
-	"currantpulley/internal/platform"
 )
 
 // network is a fleet of machines whose messages arrive at once or not at all.
@@ -25,7 +25,7 @@
 	cut     map[string]bool // data centre that no message crosses
 	loss    float64
 	rand    *rand.Rand
-	listing []platform.ListedVM
+	listing []backing.ListedVM
 }
 
 func newNetwork(size, centres int, seed uint64) *network {
@@ -34,7 +34,7 @@
 		rand: rand.New(rand.NewPCG(seed, 1)),
 	}
 	for i := range size {
-		n.listing = append(n.listing, platform.ListedVM{
+		n.listing = append(n.listing, backing.ListedVM{
 			Name: fmt.Sprintf("vm-%02d", i), PeerAddress: "x", DataCentre: fmt.Sprintf("dc-%d", i%centres),
 		})
 	}
@@ -44,7 +44,7 @@
 	return n
 }
 
-func (n *network) boot(vm platform.ListedVM) {
+func (n *network) boot(vm backing.ListedVM) {
 	self := fleet.VM{Name: vm.Name, PeerAddress: vm.PeerAddress, DataCentre: vm.DataCentre, Incarnation: uint64(n.now.UnixMilli())}
 	opts := Options{Self: self, Seeds: n.listing, Recorder: event.Discard{}}
 	opts.setDefaults(n.now)
--- a/internal/control/membership/machine.go
+++ b/internal/control/membership/machine.go
@@ -9,10 +9,10 @@
 	"slices"
 	"time"
 
+	"currantpulley/internal/backing"
 	pb "currantpulley/internal/control/membership/membershippb"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fleet"
-	"currantpulley/internal/platform"
 	"currantpulley/internal/rendezvous"
 )
 
@@ -64,7 +64,7 @@
 
 // list takes in the platform's list. It lags, so it only introduces VMs and
 // marks those as leaving that it newly names so; the VM itself may object.
-func (m *machine) list(now time.Time, vms []platform.ListedVM) {
+func (m *machine) list(now time.Time, vms []backing.ListedVM) {
 	named := make(map[string]bool, len(vms))
 	for _, l := range vms {
 		if l.Name == m.self.Name || l.Name == "" {
@@ -78,7 +78,7 @@
 	}
 }
 
-func (m *machine) listOne(now time.Time, l platform.ListedVM) {
+func (m *machine) listOne(now time.Time, l backing.ListedVM) {
 	mb, ok := m.members[l.Name]
 	if !ok {
 		vm := fleet.VM{Name: l.Name, PeerAddress: l.PeerAddress, DataCentre: l.DataCentre}
--- a/internal/control/membership/machine_test.go
+++ b/internal/control/membership/machine_test.go
@@ -4,10 +4,10 @@
 	"testing"
 	"time"
 
+	"currantpulley/internal/backing"
 	pb "currantpulley/internal/control/membership/membershippb"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fleet"
-	"currantpulley/internal/platform"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -95,8 +95,8 @@
 }
 
 func TestPlatformListLags(t *testing.T) {
-	listed := func(leaving bool) []platform.ListedVM {
-		return []platform.ListedVM{{Name: "b", PeerAddress: "b", DataCentre: "a", Leaving: leaving}}
+	listed := func(leaving bool) []backing.ListedVM {
+		return []backing.ListedVM{{Name: "b", PeerAddress: "b", DataCentre: "a", Leaving: leaving}}
 	}
 	m := testMachine("self", event.Discard{})
 	m.list(start, listed(false))
--- a/internal/control/membership/membership_test.go
+++ b/internal/control/membership/membership_test.go
@@ -6,10 +6,10 @@
 	"testing"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/peer"
-	"currantpulley/internal/platform"
 )
 
 const patience = 20 * time.Second
@@ -23,7 +23,7 @@
 	loop   *loop.Loop
 }
 
-func startNode(t *testing.T, name, centre string, seeds []platform.ListedVM) (*node, platform.ListedVM) {
+func startNode(t *testing.T, name, centre string, seeds []backing.ListedVM) (*node, backing.ListedVM) {
 	t.Helper()
 	server, err := peer.Listen("127.0.0.1:0", nil)
 	if err != nil {
@@ -32,7 +32,7 @@
 	return startNodeOn(t, server, name, centre, seeds)
 }
 
-func startNodeOn(t *testing.T, server *peer.Server, name, centre string, seeds []platform.ListedVM) (*node, platform.ListedVM) {
+func startNodeOn(t *testing.T, server *peer.Server, name, centre string, seeds []backing.ListedVM) (*node, backing.ListedVM) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{views: make(chan fleet.View, 1024), server: server, stop: cancel, loop: loop.New()}
@@ -50,7 +50,7 @@
 	go func() { _ = server.Run(ctx) }()
 	go n.Run(ctx)
 	t.Cleanup(func() { cancel(); pool.Close() })
-	return n, platform.ListedVM{Name: name, PeerAddress: server.Address(), DataCentre: centre}
+	return n, backing.ListedVM{Name: name, PeerAddress: server.Address(), DataCentre: centre}
 }
 
 // await waits for a view in which vm has the state.
@@ -70,7 +70,7 @@
 }
 
 func TestDaemonsOverLoopback(t *testing.T) {
-	var seeds []platform.ListedVM
+	var seeds []backing.ListedVM
 	var nodes []*node
 	for i := range 5 {
 		n, listed := startNode(t, fmt.Sprintf("vm-%d", i), fmt.Sprintf("dc-%d", i%2), seeds)
@@ -103,8 +103,8 @@
 
 func TestProbeForAnotherVMFails(t *testing.T) {
 	n, listed := startNode(t, "new", "dc", nil)
-	replaced := platform.ListedVM{Name: "old", PeerAddress: listed.PeerAddress, DataCentre: "dc"}
-	observer, _ := startNode(t, "observer", "dc", []platform.ListedVM{replaced})
+	replaced := backing.ListedVM{Name: "old", PeerAddress: listed.PeerAddress, DataCentre: "dc"}
+	observer, _ := startNode(t, "observer", "dc", []backing.ListedVM{replaced})
 	deadline := time.After(patience)
 	for {
 		if vm, ok := observer.View().Find("old"); ok && vm.State == fleet.Dead {
@@ -121,7 +121,7 @@
 // The VM comes back at its old address and knows nobody: the others must find it.
 func TestRestartedVMIsFoundAgain(t *testing.T) {
 	victim, listed := startNode(t, "victim", "dc", nil)
-	observer, _ := startNode(t, "observer", "dc", []platform.ListedVM{listed})
+	observer, _ := startNode(t, "observer", "dc", []backing.ListedVM{listed})
 	observer.await(t, "victim", fleet.Alive)
 	victim.stop()
 	observer.await(t, "victim", fleet.Dead)
--- a/internal/control/membership/options.go
+++ b/internal/control/membership/options.go
@@ -12,11 +12,11 @@
 import (
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/peer"
-	"currantpulley/internal/platform"
 )
 
 // Default periods.
@@ -33,8 +33,8 @@
 type Options struct {
 	Loop     *loop.Loop
 	Pool     *peer.Pool
-	List     platform.VMList // nil: only Seeds are known at first
-	Seeds    []platform.ListedVM
+	List     backing.VMList // nil: only Seeds are known at first
+	Seeds    []backing.ListedVM
 	Self     fleet.VM // a zero Incarnation is replaced by the start's Unix milliseconds
 	Recorder event.Recorder
 
--- a/internal/control/orders/world_test.go
+++ b/internal/control/orders/world_test.go
@@ -8,11 +8,11 @@
 	"slices"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/lease"
 	"currantpulley/internal/fake/memlog"
 	"currantpulley/internal/logrecord"
-	"currantpulley/internal/platform"
 	"currantpulley/internal/upstream"
 )
 
@@ -82,7 +82,7 @@
 
 func (w *world) start(i int) {
 	d := &daemon{table: lease.NewTable(fmt.Sprint(i)), version: w.version, tenures: make(map[time.Time]uint64)}
-	first, _, _ := w.log.Bounds(context.Background(), platform.StreamLeases)
+	first, _, _ := w.log.Bounds(context.Background(), backing.StreamLeases)
 	d.table.Start(max(first, 1))
 	d.planner = newPlanner(d.table, func(Status) {})
 	w.daemons[i] = d
@@ -145,14 +145,14 @@
 
 // trim drops the records that are older than any lease can be.
 func (w *world) trim() {
-	first, _, err := w.log.Bounds(context.Background(), platform.StreamLeases)
+	first, _, err := w.log.Bounds(context.Background(), backing.StreamLeases)
 	if err != nil {
 		return
 	}
-	records, _ := w.log.Read(context.Background(), platform.StreamLeases, first, 1000, 0)
+	records, _ := w.log.Read(context.Background(), backing.StreamLeases, first, 1000, 0)
 	for _, r := range records {
 		if w.now.Sub(r.At) > 2*worldLease {
-			w.log.Trim(platform.StreamLeases, r.Offset+1)
+			w.log.Trim(backing.StreamLeases, r.Offset+1)
 		}
 	}
 }
@@ -187,16 +187,16 @@
 	}
 	data, err := logrecord.Encode(leaseVersion, r)
 	if err == nil {
-		_, err = w.log.Append(context.Background(), platform.StreamLeases, data)
+		_, err = w.log.Append(context.Background(), backing.StreamLeases, data)
 	}
-	d.table.Appended(r, errors.Is(err, platform.ErrUnavailable))
+	d.table.Appended(r, errors.Is(err, backing.ErrUnavailable))
 }
 
 func (w *world) read(d *daemon) {
 	d.table.Lapse(w.now)
-	records, err := w.log.Read(context.Background(), platform.StreamLeases, d.table.Next(), 100, 0)
-	if errors.Is(err, platform.ErrTrimmed) {
-		first, _, _ := w.log.Bounds(context.Background(), platform.StreamLeases)
+	records, err := w.log.Read(context.Background(), backing.StreamLeases, d.table.Next(), 100, 0)
+	if errors.Is(err, backing.ErrTrimmed) {
+		first, _, _ := w.log.Bounds(context.Background(), backing.StreamLeases)
 		d.table.Start(first)
 		return
 	}
--- a/internal/control/publish/cluster_test.go
+++ b/internal/control/publish/cluster_test.go
@@ -11,13 +11,13 @@
 
 	"google.golang.org/grpc"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fake/memlog"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/peer"
-	"currantpulley/internal/platform"
 )
 
 const testTimeout = 30 * time.Second
@@ -67,27 +67,27 @@
 
 // switchedLog fails while cut is set.
 type switchedLog struct {
-	platform.Log
+	backing.Log
 	cut atomic.Bool
 }
 
-func (l *switchedLog) Read(ctx context.Context, s string, from uint64, n int, wait time.Duration) ([]platform.Record, error) {
+func (l *switchedLog) Read(ctx context.Context, s string, from uint64, n int, wait time.Duration) ([]backing.Record, error) {
 	if l.cut.Load() {
-		return nil, platform.ErrUnavailable
+		return nil, backing.ErrUnavailable
 	}
 	return l.Log.Read(ctx, s, from, n, wait)
 }
 
 func (l *switchedLog) Bounds(ctx context.Context, s string) (first, next uint64, err error) {
 	if l.cut.Load() {
-		return 0, 0, platform.ErrUnavailable
+		return 0, 0, backing.ErrUnavailable
 	}
 	return l.Log.Bounds(ctx, s)
 }
 
 func (l *switchedLog) Append(ctx context.Context, s string, data []byte) (uint64, error) {
 	if l.cut.Load() {
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	}
 	return l.Log.Append(ctx, s, data)
 }
@@ -266,7 +266,7 @@
 			t.Fatalf("fault %d: %+v", fault, d)
 		}
 		c.awaitAll(d.Candidate)
-		records, err := c.log.Read(context.Background(), platform.StreamConfig, 1, 100, 0)
+		records, err := c.log.Read(context.Background(), backing.StreamConfig, 1, 100, 0)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -315,11 +315,11 @@
 	second := c.submit(testSet(t, "w2"), true)
 	c.awaitAll(second.Candidate)
 	c.nodes["vm-1"].halt()
-	_, next, err := c.log.Bounds(context.Background(), platform.StreamConfig)
+	_, next, err := c.log.Bounds(context.Background(), backing.StreamConfig)
 	if err != nil || first.Result != Committed {
 		t.Fatal(err)
 	}
-	c.log.Trim(platform.StreamConfig, next)
+	c.log.Trim(backing.StreamConfig, next)
 	keeper := c.prepare("vm-2")
 	c.run(keeper) // finds an empty stream and has no peer with a version
 	if err := keeper.loop.Do(context.Background(), func(now time.Time) {
@@ -329,7 +329,7 @@
 		t.Fatal(err)
 	}
 	keeper.await(t, second.Candidate)
-	records, err := c.log.Read(context.Background(), platform.StreamConfig, next, 1, testTimeout)
+	records, err := c.log.Read(context.Background(), backing.StreamConfig, next, 1, testTimeout)
 	if err != nil || len(records) != 1 || newEntry(records[0]).record.GetInForce().GetVersion() != second.Candidate {
 		t.Fatalf("the version in force was not restated: %v, %v", records, err)
 	}
--- a/internal/control/publish/publisher.go
+++ b/internal/control/publish/publisher.go
@@ -10,13 +10,13 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/semaphore"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/loop"
 	pb "currantpulley/internal/control/publish/publishpb"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/peer"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -31,7 +31,7 @@
 // Options configures a Publisher.
 type Options struct {
 	Loop     *loop.Loop
-	Log      platform.Log
+	Log      backing.Log
 	Pool     *peer.Pool
 	View     func() fleet.View // called on the control goroutine
 	Traffic  TrafficCheck      // nil: no check against traffic
@@ -102,7 +102,7 @@
 		return err
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return (&tail{p: p, stream: platform.StreamConfig}).run(ctx) })
+	g.Go(func() error { return (&tail{p: p, stream: backing.StreamConfig}).run(ctx) })
 	g.Go(func() error { return p.boot(ctx) })
 	p.opts.Loop.Every(ctx, tickPeriod, func(now time.Time) {
 		p.machine.Tick(now, p.opts.View())
@@ -164,7 +164,7 @@
 	defer cancel()
 	data, err := encodeRecord(a.Record)
 	if err == nil {
-		_, err = p.opts.Log.Append(ctx, platform.StreamConfig, data)
+		_, err = p.opts.Log.Append(ctx, backing.StreamConfig, data)
 	}
 	p.post(func(now time.Time, m *Machine) { m.Appended(now, a.Record, err) })
 }
--- a/internal/control/publish/submit.go
+++ b/internal/control/publish/submit.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/config"
 	pb "currantpulley/internal/control/publish/publishpb"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -45,14 +45,14 @@
 
 // Submitter publishes through the log alone.
 type Submitter struct {
-	log      platform.Log
+	log      backing.Log
 	progress func(text string)
 	history  *history
 	from     uint64
 }
 
 // NewSubmitter returns a Submitter that tells progress what it waits for.
-func NewSubmitter(log platform.Log, progress func(text string)) *Submitter {
+func NewSubmitter(log backing.Log, progress func(text string)) *Submitter {
 	return &Submitter{log: log, progress: progress}
 }
 
@@ -134,7 +134,7 @@
 		n, err := s.readOnce(ctx, wait)
 		switch {
 		case ctx.Err() != nil && s.history == nil:
-			return fmt.Errorf("read configuration stream: %w: %w", platform.ErrUnavailable, ctx.Err())
+			return fmt.Errorf("read configuration stream: %w: %w", backing.ErrUnavailable, ctx.Err())
 		case ctx.Err() != nil:
 			return ErrUndecided
 		case err != nil:
@@ -148,14 +148,14 @@
 
 func (s *Submitter) readOnce(ctx context.Context, wait time.Duration) (int, error) {
 	if s.history == nil {
-		first, _, err := s.log.Bounds(ctx, platform.StreamConfig)
+		first, _, err := s.log.Bounds(ctx, backing.StreamConfig)
 		if err != nil {
 			return 0, err
 		}
 		s.history, s.from = newHistory(max(first, 1)), max(first, 1)
 	}
-	records, err := s.log.Read(ctx, platform.StreamConfig, s.from, readLimit, wait)
-	if errors.Is(err, platform.ErrTrimmed) {
+	records, err := s.log.Read(ctx, backing.StreamConfig, s.from, readLimit, wait)
+	if errors.Is(err, backing.ErrTrimmed) {
 		s.history = nil
 		return readLimit, nil
 	}
@@ -179,20 +179,20 @@
 		return 0, err
 	}
 	for ctx.Err() == nil {
-		offset, err := s.log.Append(ctx, platform.StreamConfig, data)
+		offset, err := s.log.Append(ctx, backing.StreamConfig, data)
 		if err == nil {
 			s.progress(fmt.Sprintf("candidate %d stands in the log", offset))
 			return offset, nil
 		}
 		s.progress(fmt.Sprintf("append: %v", err))
-		if errors.Is(err, platform.ErrUnknownOutcome) {
+		if errors.Is(err, backing.ErrUnknownOutcome) {
 			if offset, ok := s.resolve(ctx, nonce); ok {
 				return offset, nil
 			}
 		}
 		pause(ctx, submitRetry)
 	}
-	return 0, fmt.Errorf("append candidate: %w", platform.ErrUnavailable)
+	return 0, fmt.Errorf("append candidate: %w", backing.ErrUnavailable)
 }
 
 // nonce is the same for every run that publishes the same content on the same
--- a/internal/control/publish/tail.go
+++ b/internal/control/publish/tail.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/event"
-	"currantpulley/internal/platform"
 )
 
 const (
@@ -60,7 +60,7 @@
 	}
 	sent := time.Now()
 	records, err := t.p.opts.Log.Read(ctx, t.stream, t.from, readLimit, readWait)
-	if errors.Is(err, platform.ErrTrimmed) {
+	if errors.Is(err, backing.ErrTrimmed) {
 		return t.start(ctx)
 	}
 	if err != nil {
@@ -84,7 +84,7 @@
 	return t.p.do(ctx, func(_ time.Time, m *Machine) { m.LogStarts(t.from) })
 }
 
-func newEntry(r platform.Record) entry {
+func newEntry(r backing.Record) entry {
 	record, err := decodeRecord(r.Data)
 	return entry{offset: r.Offset, at: r.At, record: record, err: err}
 }
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"time"
 
+	"currantpulley/internal/backing"
+	"currantpulley/internal/backing/httplog"
+	"currantpulley/internal/backing/httpvms"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/branches"
 	"currantpulley/internal/control/calls"
@@ -18,9 +21,6 @@
 	"currantpulley/internal/event"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/limits"
-	"currantpulley/internal/platform"
-	"currantpulley/internal/platform/httplog"
-	"currantpulley/internal/platform/httpvms"
 	"currantpulley/internal/settings"
 )
 
@@ -38,7 +38,7 @@
 	calls      *calls.Calls       // nil without a log
 	leases     *lease.Leases      // nil without a log
 	orders     *orders.Orders     // nil without a log
-	log        platform.Log       // nil without a log
+	log        backing.Log        // nil without a log
 }
 
 // newControl builds the components and registers their services.
@@ -95,7 +95,7 @@
 }
 
 // newLogged builds the components that keep their state in the platform's log.
-func (d *Daemon) newLogged(log platform.Log) {
+func (d *Daemon) newLogged(log backing.Log) {
 	c := &d.control
 	c.log = log
 	c.publisher = publish.New(publish.Options{
@@ -164,18 +164,18 @@
 	return d.peers.Address()
 }
 
-func vmList(url string, client *http.Client) platform.VMList {
+func vmList(url string, client *http.Client) backing.VMList {
 	if url == "" {
 		return nil
 	}
 	return httpvms.New(url, client)
 }
 
-func seeds(list []settings.Seed) []platform.ListedVM {
-	out := make([]platform.ListedVM, 0, len(list))
+func seeds(list []settings.Seed) []backing.ListedVM {
+	out := make([]backing.ListedVM, 0, len(list))
 	for _, s := range list {
 		if _, _, err := net.SplitHostPort(s.PeerAddress); err == nil {
-			out = append(out, platform.ListedVM{Name: s.VM, PeerAddress: s.PeerAddress, DataCentre: s.DataCentre})
+			out = append(out, backing.ListedVM{Name: s.VM, PeerAddress: s.PeerAddress, DataCentre: s.DataCentre})
 		}
 	}
 	return out
--- a/internal/daemon/weights_test.go
+++ b/internal/daemon/weights_test.go
@@ -12,11 +12,11 @@
 	"testing"
 	"time"
 
+	"currantpulley/internal/backing/httplog"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/publish"
 	"currantpulley/internal/fake/fakeengine"
 	"currantpulley/internal/fake/fakelog"
-	"currantpulley/internal/platform/httplog"
 )
 
 // versionOf returns a configuration whose model has the given weights.
--- a/internal/fake/fakevms/fakevms.go
+++ b/internal/fake/fakevms/fakevms.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
+	"currantpulley/internal/backing"
 	"currantpulley/internal/fake/fakehttp"
-	"currantpulley/internal/platform"
 )
 
 type version struct {
 	at  time.Time
-	vms []platform.ListedVM
+	vms []backing.ListedVM
 }
 
 // List is the stand-in; serve it with net/http. POST /vms sets the list, which
@@ -36,14 +36,14 @@
 func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
 
 // Set replaces the list.
-func (l *List) Set(vms []platform.ListedVM) {
+func (l *List) Set(vms []backing.ListedVM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.versions = append(l.versions, version{time.Now(), vms})
 }
 
 func (l *List) post(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.ListedVM
+	var vms []backing.ListedVM
 	if fakehttp.ReadJSON(w, r, &vms) {
 		l.Set(vms)
 		w.WriteHeader(http.StatusNoContent)
@@ -54,10 +54,10 @@
 	fakehttp.WriteJSON(w, http.StatusOK, l.shown(time.Now()))
 }
 
-func (l *List) shown(now time.Time) []platform.ListedVM {
+func (l *List) shown(now time.Time) []backing.ListedVM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	shown := []platform.ListedVM{}
+	shown := []backing.ListedVM{}
 	for i, v := range l.versions {
 		if now.Sub(v.at) < l.lag {
 			break
--- a/internal/fake/memlog/memlog.go
+++ b/internal/fake/memlog/memlog.go
@@ -1,4 +1,4 @@
-// Package memlog is an in-process platform.Log for tests, with switches for
+// Package memlog is an in-process backing.Log for tests, with switches for
 // the faults of the real one: outage, lost replies, retention and delay.
 package memlog
 
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"currantpulley/internal/platform"
+	"currantpulley/internal/backing"
 )
 
 // Fault is what happens to one append.
@@ -24,7 +24,7 @@
 
 type stream struct {
 	first   uint64 // offset of records[0]
-	records []platform.Record
+	records []backing.Record
 }
 
 func (s *stream) next() uint64 { return s.first + uint64(len(s.records)) }
@@ -49,7 +49,7 @@
 	return &Log{streams: make(map[string]*stream), changed: make(chan struct{}), now: now}
 }
 
-var _ platform.Log = (*Log)(nil)
+var _ backing.Log = (*Log)(nil)
 
 // SetDown begins or ends an outage: every call fails with ErrUnavailable.
 func (l *Log) SetDown(down bool) {
@@ -82,11 +82,11 @@
 		return
 	}
 	first = min(first, s.next())
-	s.records = append([]platform.Record(nil), s.records[first-s.first:]...)
+	s.records = append([]backing.Record(nil), s.records[first-s.first:]...)
 	s.first = first
 }
 
-// Append implements platform.Log.
+// Append implements backing.Log.
 func (l *Log) Append(ctx context.Context, name string, data []byte) (uint64, error) {
 	if err := l.wait(ctx); err != nil {
 		return 0, err
@@ -94,27 +94,27 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	}
 	fault := l.takeFault()
 	switch fault {
 	case Refused:
-		return 0, platform.ErrUnavailable
+		return 0, backing.ErrUnavailable
 	case LostBefore:
-		return 0, platform.ErrUnknownOutcome
+		return 0, backing.ErrUnknownOutcome
 	}
 	s := l.stream(name)
 	offset := s.next()
-	s.records = append(s.records, platform.Record{Offset: offset, At: l.now(), Data: append([]byte(nil), data...)})
+	s.records = append(s.records, backing.Record{Offset: offset, At: l.now(), Data: append([]byte(nil), data...)})
 	l.wake()
 	if fault == LostAfter {
-		return 0, platform.ErrUnknownOutcome
+		return 0, backing.ErrUnknownOutcome
 	}
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) ([]platform.Record, error) {
+// Read implements backing.Log.
+func (l *Log) Read(ctx context.Context, name string, from uint64, limit int, wait time.Duration) ([]backing.Record, error) {
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	for {
@@ -127,17 +127,17 @@
 		case <-deadline.C:
 			return nil, nil
 		case <-ctx.Done():
-			return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, ctx.Err())
+			return nil, fmt.Errorf("%w: %w", backing.ErrUnavailable, ctx.Err())
 		}
 	}
 }
 
-// Bounds implements platform.Log.
+// Bounds implements backing.Log.
 func (l *Log) Bounds(_ context.Context, name string) (first, next uint64, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return 0, 0, platform.ErrUnavailable
+		return 0, 0, backing.ErrUnavailable
 	}
 	s := l.stream(name)
 	return s.first, s.next(), nil
@@ -154,7 +154,7 @@
 	case <-time.After(delay):
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("%w: %w", platform.ErrUnknownOutcome, ctx.Err())
+		return fmt.Errorf("%w: %w", backing.ErrUnknownOutcome, ctx.Err())
 	}
 }
 
@@ -167,22 +167,22 @@
 	return f
 }
 
-func (l *Log) read(name string, from uint64, limit int) ([]platform.Record, <-chan struct{}, error) {
+func (l *Log) read(name string, from uint64, limit int) ([]backing.Record, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return nil, nil, platform.ErrUnavailable
+		return nil, nil, backing.ErrUnavailable
 	}
 	s := l.stream(name)
 	if from < s.first {
-		return nil, nil, platform.ErrTrimmed
+		return nil, nil, backing.ErrTrimmed
 	}
 	if from >= s.next() || limit <= 0 {
 		return nil, l.changed, nil
 	}
 	records := s.records[from-s.first:]
 	records = records[:min(limit, len(records))]
-	return append([]platform.Record(nil), records...), nil, nil
+	return append([]backing.Record(nil), records...), nil, nil
 }
 
 func (l *Log) stream(name string) *stream {
--- a/internal/fake/memlog/memlog_test.go
+++ b/internal/fake/memlog/memlog_test.go
@@ -5,7 +5,7 @@
 	"errors"
 	"testing"
 
-	"currantpulley/internal/platform"
+	"currantpulley/internal/backing"
 )
 
 func TestAppendFaults(t *testing.T) {
@@ -17,10 +17,10 @@
 		kept  int
 	}{
 		{"healthy", None, false, nil, 1},
-		{"refused", Refused, false, platform.ErrUnavailable, 0},
-		{"reply lost before the effect", LostBefore, false, platform.ErrUnknownOutcome, 0},
-		{"reply lost after the effect", LostAfter, false, platform.ErrUnknownOutcome, 1},
-		{"outage", None, true, platform.ErrUnavailable, 0},
+		{"refused", Refused, false, backing.ErrUnavailable, 0},
+		{"reply lost before the effect", LostBefore, false, backing.ErrUnknownOutcome, 0},
+		{"reply lost after the effect", LostAfter, false, backing.ErrUnknownOutcome, 1},
+		{"outage", None, true, backing.ErrUnavailable, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ctx := context.Background()
@@ -48,7 +48,7 @@
 		}
 	}
 	l.Trim("s", 3)
-	if _, err := l.Read(ctx, "s", 2, 1, 0); !errors.Is(err, platform.ErrTrimmed) {
+	if _, err := l.Read(ctx, "s", 2, 1, 0); !errors.Is(err, backing.ErrTrimmed) {
 		t.Fatalf("read below retention: %v", err)
 	}
 	if first, next, err := l.Bounds(ctx, "s"); first != 3 || next != 4 || err != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,8 +13,8 @@
 	"currantpulley/internal/balance"
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/event"
-	"currantpulley/internal/freshness"
 	"currantpulley/internal/failure"
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/refusal"
 	"currantpulley/internal/upstream"
 )
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
@@ -39,10 +40,10 @@
 	for {
 		line, err := r.body.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
-		if err == io.EOF && len(r.raw) == 0 {
+		if errors.Is(err, io.EOF) && len(r.raw) == 0 {
 			return e, io.EOF
 		}
-		if err != nil && err != bufio.ErrBufferFull {
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
 			return e, fmt.Errorf("%w: %w", upstream.ErrTruncated, err)
 		}
 		if len(r.raw) > eventMax {
