Learn namings that a daemon missed before its start

Change: daemons tell the times of the last four namings; one that was missed is put in its place. TestMissedNamingIsLearned fails first.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -197,16 +197,22 @@
 	return Wanted{Version: n.version, named: named[max(0, len(named)-namingsMax):]}
 }
 
-// correct returns w with the time of a naming that was only presumed, and
-// whether that changed anything.
-func (w Wanted) correct(version uint64, at time.Time) (Wanted, bool) {
-	i := slices.IndexFunc(w.named, func(n naming) bool { return n.version == version && n.presumed })
-	if i < 0 {
-		return w, false
+// learn returns w with the time of a naming that was only presumed, or of one
+// before the newest that was not known, and whether that changed anything.
+func (w Wanted) learn(version uint64, at time.Time) (Wanted, bool) {
+	n := naming{version: version, at: at}
+	i, known := slices.BinarySearchFunc(w.named, version, func(n naming, v uint64) int { return cmp.Compare(n.version, v) })
+	switch {
+	case known && w.named[i].presumed:
+		w.named = slices.Clone(w.named)
+		w.named[i] = n
+		return w, true
+	case !known && version < w.Version:
+		w.named = slices.Insert(slices.Clone(w.named), i, n)
+		w.named = w.named[max(0, len(w.named)-namingsMax):]
+		return w, true
 	}
-	w.named = slices.Clone(w.named)
-	w.named[i] = naming{version: version, at: at}
-	return w, true
+	return w, false
 }
 
 // Behind returns for how long a newer version than version has been named at
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -82,10 +82,28 @@
 	if n := w.Load().Weights["m"].Namings(4); len(n) != 0 {
 		t.Errorf("a presumed time is told to others: %v", n)
 	}
-	w.CorrectWanted("m", 3, at.Add(time.Second))
-	w.CorrectWanted("m", 2, at.Add(2*time.Second))
-	w.CorrectWanted("m", 2, at.Add(3*time.Second))
+	w.LearnWanted("m", 3, at.Add(time.Second))
+	w.LearnWanted("m", 2, at.Add(2*time.Second))
+	w.LearnWanted("m", 2, at.Add(3*time.Second))
 	if n := w.Load().Weights["m"].Namings(4); len(n) != 1 || !n[0].At.Equal(at.Add(2*time.Second)) {
 		t.Errorf("%v", n)
 	}
 }
+
+// Engines that are several versions behind are judged by the first version
+// that they miss, also by a daemon that started after its naming.
+func TestMissedNamingIsLearned(t *testing.T) {
+	at := time.Unix(100, 0)
+	w := NewWatcher()
+	w.PresumeWanted("m", 4, at.Add(10*time.Second))
+	w.LearnWanted("m", 3, at)
+	w.LearnWanted("m", 3, at.Add(time.Second))
+	w.LearnWanted("m", 5, at)
+	wanted := w.Load().Weights["m"]
+	if wanted.Version != 4 {
+		t.Errorf("version %d is wanted on another daemon's word", wanted.Version)
+	}
+	if age, behind := wanted.Behind(2, at.Add(10*time.Second)); !behind || age != 10*time.Second {
+		t.Errorf("version 2 is behind for %v, %t", age, behind)
+	}
+}
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -83,14 +83,14 @@
 	return taken
 }
 
-// CorrectWanted takes the time at which a version was named from another
-// daemon, where this one only presumed it.
-func (w *Watcher) CorrectWanted(model string, version uint64, at time.Time) {
-	if _, wrong := w.Load().Weights[model].correct(version, at); !wrong {
+// LearnWanted takes the time at which a version was named from another daemon,
+// where this one did not see it. It never makes a newer version wanted.
+func (w *Watcher) LearnWanted(model string, version uint64, at time.Time) {
+	if _, better := w.Load().Weights[model].learn(version, at); !better {
 		return
 	}
 	w.update(func(s *Snapshot) {
-		if wanted, wrong := s.Weights[model].correct(version, at); wrong {
+		if wanted, better := s.Weights[model].learn(version, at); better {
 			s.setWeights(model, wanted)
 		}
 	})
