--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -38,7 +38,7 @@
 	// staleAfter is how long older weights are as good as the newest ones.
 	staleAfter = 1200 * time.Millisecond
 	// staleCost is the delay that an answer on the newest weights is worth.
-	staleCost = 250 * time.Millisecond
+	staleCost = 200 * time.Millisecond
 	// longTokens is the size of a prompt from which on it is long work.
 	longTokens = 2000
 	// shortLane is the part of the engines that long work leaves to short work
@@ -47,7 +47,7 @@
 	// longInShort and shortInLong are the delays that are worth keeping long
 	// work out of the engines for short work, and short work out of the others.
 	longInShort = 900 * time.Millisecond
-	shortInLong = 250 * time.Millisecond
+	shortInLong = 600 * time.Millisecond
 	// fetchMin is the number of shared tokens from which on moving their cache
 	// entries takes less time than computing them.
 	fetchMin = 256
@@ -57,6 +57,13 @@
 	// staleWait is how much longer than expected a request may wait in an engine
 	// before it begins.
 	staleWait = 2
+	// slotTime is how long a request of the usual size occupies a slot of an engine.
+	slotTime = 500 * time.Millisecond
+	// failingPeers is the number of daemons whose word on a failing upstream is
+	// taken; one alone may have lost its own link.
+	failingPeers = 2
+	// failingCost is the delay that passing over such an upstream is worth.
+	failingCost = 2 * time.Second
 	// forgetAfter is how long the state of an upstream without requests is kept.
 	forgetAfter = 30 * time.Second
 )
@@ -197,6 +204,9 @@
 	if u.DataCentre != b.opts.DataCentre {
 		score += farCost
 	}
+	if s.failingAt(now) {
+		score += failingCost
+	}
 	slow := max(1, s.slowdown)
 	requests, tokens := b.work(s, now)
 	if w.Prompt == nil {
@@ -207,7 +217,7 @@
 	score += at.cost(w.Prompt, u)
 	held, fetched := b.reuse(snap, w, u, p, at, now)
 	p.tokens = max(0, w.Prompt.Tokens-held-fetched)
-	p.Wait = scale(requestCost, slow*requests) + prefill((tokens+float64(p.tokens))*slow) + fetch(fetched)
+	p.Wait = scale(requestCost, slow*requests) + queueing(requests, u.Slots) + prefill((tokens+float64(p.tokens))*slow) + fetch(fetched)
 	stale, ok := b.stale(snap, w, p, now)
 	if !ok {
 		return nil, 0
@@ -272,6 +282,14 @@
 	return time.Duration(float64(tokens) / fetchRate * float64(time.Millisecond))
 }
 
+// queueing returns the wait for a slot of an engine.
+func queueing(requests float64, slots int) time.Duration {
+	if slots <= 0 || requests < float64(slots) {
+		return 0
+	}
+	return scale(slotTime, (requests-float64(slots)+1)/float64(slots))
+}
+
 // work returns the requests at an upstream and the tokens that wait in it.
 func (b *Balancer) work(s *state, now time.Time) (requests, tokens float64) {
 	requests, tokens = float64(s.own.Requests), float64(s.own.Tokens)
--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -11,6 +11,7 @@
 	Requests int
 	Fixed    int // of these, that can't go on at another upstream
 	Tokens   int // of prompts that wait for their first token
+	Failing  bool
 }
 
 // peerUse is what another daemon told of its work at an upstream.
@@ -19,14 +20,16 @@
 	until time.Time
 }
 
-// Own returns this daemon's work, by upstream.
-func (b *Balancer) Own() map[catalog.Key]Use {
+// Own returns this daemon's work and the upstreams that fail it now.
+func (b *Balancer) Own(now time.Time) map[catalog.Key]Use {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[catalog.Key]Use)
 	for k, s := range b.upstreams {
-		if s.own.Requests > 0 {
-			out[k] = s.own
+		use := s.own
+		use.Failing = s.failures > 0 && now.Before(s.pausedUntil)
+		if use != (Use{}) {
+			out[k] = use
 		}
 	}
 	return out
@@ -81,6 +84,17 @@
 	}
 }
 
+// failingAt reports whether enough daemons say that the upstream fails them.
+func (s *state) failingAt(now time.Time) bool {
+	count := 0
+	for _, p := range s.peers {
+		if p.Failing && !now.After(p.until) {
+			count++
+		}
+	}
+	return count >= failingPeers || (count > 0 && s.failures > 0)
+}
+
 // fromPeers returns the work that other daemons told of lately.
 func (s *state) fromPeers(now time.Time) Use {
 	sum := Use{}
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -38,6 +38,7 @@
 	Requests int
 	Fixed    int // of these, that can't go on at another engine
 	Tokens   int // of prompts that wait for their first token
+	Failing  bool
 }
 
 // Notice tells that an engine is about to load weights, or has loaded them.
@@ -205,7 +206,7 @@
 	s := &exchangepb.State{Vm: e.opts.Self, Incarnation: e.incarnation, Sequence: e.sequence}
 	for _, u := range e.opts.Collect() {
 		s.Uses = append(s.Uses, &exchangepb.Use{
-			Upstream: u.Upstream, Requests: uint32(u.Requests), Fixed: uint32(u.Fixed), Tokens: uint32(u.Tokens),
+			Upstream: u.Upstream, Requests: uint32(u.Requests), Fixed: uint32(u.Fixed), Tokens: uint32(u.Tokens), Failing: u.Failing,
 		})
 	}
 	for _, h := range e.opts.Held(heldSpans*period(len(e.opts.View().Live())), heldMax) {
@@ -239,7 +240,7 @@
 	uses := make([]Use, 0, len(s.GetUses()))
 	for _, u := range s.GetUses() {
 		uses = append(uses, Use{
-			Upstream: u.GetUpstream(), Requests: int(u.GetRequests()), Fixed: int(u.GetFixed()), Tokens: int(u.GetTokens()),
+			Upstream: u.GetUpstream(), Requests: int(u.GetRequests()), Fixed: int(u.GetFixed()), Tokens: int(u.GetTokens()), Failing: u.GetFailing(),
 		})
 	}
 	lifetime := staleSpans * period(len(e.opts.View().Live()))
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -5,6 +5,7 @@
 package freshness
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -31,7 +32,10 @@
 
 // Time reads the clock as a time.Time, for code that only compares its
 // readings with each other. It is not the time of day.
-func Time() time.Time { return time.Unix(0, int64(Now())) }
+func Time() time.Time { return Now().Time() }
+
+// Time returns i as Time does.
+func (i Instant) Time() time.Time { return time.Unix(0, int64(i)) }
 
 // Proof is the latest instant up to which the configuration is known to be the
 // newest. The zero value proves nothing. It is safe for concurrent use.
@@ -58,3 +62,46 @@
 	at := p.at.Load()
 	return now.Sub(Instant(at)), at != 0
 }
+
+const (
+	pauseTick = 100 * time.Millisecond
+	pauseMin  = 300 * time.Millisecond // between two ticks of a process that ran all the while
+)
+
+// Pauses notices when the process stood still.
+type Pauses struct{ last, ended atomic.Int64 }
+
+// WatchPauses watches until ctx ends.
+func WatchPauses(ctx context.Context) *Pauses {
+	p := &Pauses{}
+	p.last.Store(int64(Now()))
+	go p.run(ctx)
+	return p
+}
+
+func (p *Pauses) run(ctx context.Context) {
+	t := time.NewTicker(pauseTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			p.tick(Now())
+		}
+	}
+}
+
+func (p *Pauses) tick(now Instant) {
+	if now.Sub(Instant(p.last.Swap(int64(now)))) >= pauseMin {
+		p.ended.Store(int64(now))
+	}
+}
+
+// Since reports whether the process stood still at some time since at.
+func (p *Pauses) Since(at Instant) bool {
+	if Now().Sub(Instant(p.last.Load())) >= pauseMin {
+		return true // it has just woken up
+	}
+	return p.ended.Load() > int64(at)
+}
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -28,3 +28,18 @@
 		t.Errorf("%v passed", d)
 	}
 }
+
+func TestPausesAreNoticed(t *testing.T) {
+	p := &Pauses{}
+	begin := Now()
+	p.last.Store(int64(begin))
+	p.tick(begin.Add(pauseTick))
+	if p.ended.Load() != 0 {
+		t.Error("a process that runs counts as paused")
+	}
+	p.tick(begin.Add(pauseTick + time.Second))
+	p.last.Store(int64(Now()))
+	if !p.Since(begin) || p.Since(begin.Add(2*time.Second)) {
+		t.Error("a pause is not placed right")
+	}
+}
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -84,7 +84,8 @@
 	callTimeout  = 600 * time.Millisecond
 	pollPeriod   = 80 * time.Millisecond // between reports of an engine that loads
 	conflictWait = 150 * time.Millisecond
-	failureWait  = 500 * time.Millisecond
+	failureWait  = 250 * time.Millisecond // doubles with each failure in a row
+	failureMax   = 4 * time.Second
 	rejectedWait = 3 * time.Second
 
 	// closedFor is how long an engine stays closed unless it is told otherwise.
@@ -92,7 +93,7 @@
 	// settleMin is the time in which all daemons have heard that an engine closes.
 	settleMin = 40 * time.Millisecond
 	// settleMax bounds the wait for requests that can't go on elsewhere.
-	settleMax  = 700 * time.Millisecond
+	settleMax  = 500 * time.Millisecond
 	settlePoll = 20 * time.Millisecond
 )
 
@@ -114,7 +115,8 @@
 
 type record struct {
 	Engine
-	working bool // a goroutine looks after an order
+	working  bool // a goroutine looks after an order, or asks for a report
+	failures int  // reports in a row that did not come
 }
 
 // heard is another daemon's notice about an order to an engine.
@@ -216,6 +218,10 @@
 		if t := r.turns[u.Key()]; t.until.After(rec.RetryAt) {
 			rec.RetryAt = t.until
 		}
+		if rec.failures > 0 {
+			r.probe(ctx, u, rec, model, now)
+			continue
+		}
 		engines = append(engines, rec.Engine)
 	}
 	for _, k := range Plan(engines, wanted, now) {
@@ -229,6 +235,26 @@
 	}
 }
 
+// probe asks an engine that did not answer for a report, so that it takes no
+// room of the others until it does.
+func (r *Runner) probe(ctx context.Context, u *catalog.Upstream, rec *record, model string, now time.Time) {
+	if rec.working || now.Before(rec.RetryAt) {
+		return
+	}
+	rec.working = true
+	go func() {
+		report, err := r.report(ctx, u)
+		r.done(ctx, result{key: key{u.Key(), model}, version: report.Versions[model], err: err})
+	}()
+}
+
+func (r *Runner) done(ctx context.Context, res result) {
+	select {
+	case r.results <- res:
+	case <-ctx.Done():
+	}
+}
+
 func (r *Runner) record(k key) *record {
 	rec, ok := r.engines[k]
 	if !ok {
@@ -253,14 +279,14 @@
 // bring orders one engine to a version and waits until it serves it.
 func (r *Runner) bring(ctx context.Context, u *catalog.Upstream, o Order) {
 	version, err := r.order(ctx, u, o)
-	select {
-	case r.results <- result{key{u.Key(), o.Model}, version, o.Token, err}:
-	case <-ctx.Done():
-	}
+	r.done(ctx, result{key{u.Key(), o.Model}, version, o.Token, err})
 }
 
 // order closes the engine, orders it and waits until it serves the version.
 func (r *Runner) order(ctx context.Context, u *catalog.Upstream, o Order) (version uint64, err error) {
+	if _, err := r.report(ctx, u); err != nil {
+		return 0, err
+	}
 	r.opts.Closing(u.Key(), closedFor, o.Token)
 	defer func() { r.opts.Opened(u.Key(), o.Model, version, o.Token) }()
 	o.Preempt = r.settle(ctx, u)
@@ -317,11 +343,14 @@
 	defer cancel()
 	report, err := r.opts.Control.Report(bounded, u)
 	if err != nil {
-		return report, failure.At("report", u.ID, err)
+		return report, fmt.Errorf("%w: %w", errUnreachable, failure.At("report", u.ID, err))
 	}
 	return report, nil
 }
 
+// errUnreachable marks the failure of a report.
+var errUnreachable = errors.New("the engine does not report")
+
 // await reads the engine's reports until it serves the version.
 func (r *Runner) await(ctx context.Context, u *catalog.Upstream, o Order) (uint64, error) {
 	deadline := time.Now().Add(orderTimeout)
@@ -358,8 +387,14 @@
 	rec := r.record(res.key)
 	rec.working, rec.Ordered = false, 0
 	rec.Version = max(rec.Version, res.version)
+	if !errors.Is(res.err, errUnreachable) {
+		rec.failures = 0
+	}
 	switch {
 	case res.err == nil:
+	case errors.Is(res.err, errUnreachable):
+		rec.failures++
+		rec.RetryAt = now.Add(min(failureMax, failureWait<<min(rec.failures, 8)))
 	case errors.Is(res.err, ErrFenced):
 		r.fenced = res.token
 	case errors.Is(res.err, ErrConflict):
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -19,7 +19,7 @@
 	dialTimeout = 500 * time.Millisecond
 	// unackedTimeout ends a connection whose peer acknowledges nothing, as
 	// when it lost power; without it the kernel tries for a quarter of an hour.
-	unackedTimeout  = 1500 * time.Millisecond
+	unackedTimeout  = time.Second
 	probeIdle       = time.Second // without traffic, before the kernel asks whether the peer is there
 	probeInterval   = 500 * time.Millisecond
 	probeCount      = 2
