Prove the configuration's freshness by other daemons too

Change: daemons tell how far they have read and how long ago that was all; an answer's proof holds for a daemon that has read as much.

--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"currantpulley/internal/event"
 	"currantpulley/internal/failure"
 	"currantpulley/internal/fleet"
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/peer"
 )
 
@@ -86,6 +87,11 @@
 	Namings func() []Naming
 	// OnNaming takes what another daemon saw named.
 	OnNaming func(n Naming)
+	// Proof returns how far this daemon has read the configuration's log and how
+	// long ago that was known to be all; false: not known.
+	Proof func() (position int64, age time.Duration, ok bool)
+	// OnProof takes another daemon's proof, as of the instant.
+	OnProof func(position int64, at freshness.Instant)
 	// OnNotice takes another daemon's notice.
 	OnNotice func(n Notice)
 }
@@ -179,6 +185,7 @@
 	if e.opts.Loop.Do(ctx, func(now time.Time) { state = e.state(now) }) != nil {
 		return
 	}
+	sent := freshness.Now()
 	conn, err := e.opts.Pool.Conn(vm.PeerAddress)
 	if err == nil {
 		state, err = exchangepb.NewExchangeClient(conn).Tell(ctx, state)
@@ -187,6 +194,11 @@
 		e.opts.Recorder.Record(event.Event{ID: event.LoadSpreadFailed, Peer: vm.Name, Step: "exchange", Err: failure.At("exchange", vm.Name, err)})
 		return
 	}
+	// Only an answer's age counts from a known instant: a call may have lain in
+	// a buffer.
+	if p := state.GetProof(); p != nil {
+		e.opts.OnProof(p.GetPosition(), sent.Add(-time.Duration(p.GetAgeMs())*time.Millisecond))
+	}
 	e.opts.Loop.Post(func(time.Time) { e.take(state) })
 }
 
@@ -215,6 +227,9 @@
 	for _, n := range e.opts.Namings() {
 		s.Namings = append(s.Namings, &exchangepb.Naming{Model: n.Model, Weights: n.Weights, AgeMs: uint32(n.Age.Milliseconds())})
 	}
+	if position, age, ok := e.opts.Proof(); ok {
+		s.Proof = &exchangepb.Proof{Position: position, AgeMs: uint32(age.Milliseconds()) + 1}
+	}
 	for id, n := range e.notices {
 		left := n.For - now.Sub(n.at)
 		if now.Sub(n.at) > noticeRepeat || (n.Closed && left <= 0) {
--- a/internal/control/exchange/exchange_test.go
+++ b/internal/control/exchange/exchange_test.go
@@ -51,6 +51,7 @@
 		OnHeld:   func([]Held) {},
 		Namings:  func() []Naming { return nil },
 		OnNaming: func(Naming) {},
+		Proof:    func() (int64, time.Duration, bool) { return 0, 0, false },
 		Apply:    func(_ string, uses []Use, _ time.Duration) { *applied = uses },
 		OnNotice: func(n Notice) { *notices = append(*notices, n) },
 	})
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -37,30 +38,53 @@
 // Time returns i as Time does.
 func (i Instant) Time() time.Time { return time.Unix(0, int64(i)) }
 
-// Proof is the latest instant up to which the configuration is known to be the
-// newest. The zero value proves nothing. It is safe for concurrent use.
-type Proof struct{ at atomic.Int64 }
+// Proof is the latest instant up to which the configuration that was read is
+// known to be the newest, and the position in the log up to which it was read.
+// The zero value proves nothing. It is safe for concurrent use.
+type Proof struct {
+	mu       sync.Mutex
+	at       Instant // 0: none
+	position int64
+}
 
-// Extend moves the proof up to at. An earlier instant changes nothing.
-func (p *Proof) Extend(at Instant) {
-	for {
-		old := p.at.Load()
-		if int64(at) <= old || p.at.CompareAndSwap(old, int64(at)) {
-			return
-		}
+// Read notes that all records before position were applied, and that there
+// were no others at the instant.
+func (p *Proof) Read(position int64, at Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.position = max(p.position, position)
+	p.at = max(p.at, at)
+}
+
+// Heard takes another daemon's proof: it had read all records before position
+// at the instant. That proves this daemon's reading too, if it is no shorter.
+// Heard reports whether it is shorter.
+func (p *Proof) Heard(position int64, at Instant) (behind bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.at == 0 {
+		return false
+	}
+	if p.position < position {
+		return true
 	}
+	p.at = max(p.at, at)
+	return false
 }
 
 // Within reports whether the proof is at most age old at now.
 func (p *Proof) Within(age time.Duration, now Instant) bool {
-	at := p.at.Load()
-	return at != 0 && now.Sub(Instant(at)) <= age
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.at != 0 && now.Sub(p.at) <= age
 }
 
-// Age returns the proof's age at now, and false when there is none.
-func (p *Proof) Age(now Instant) (time.Duration, bool) {
-	at := p.at.Load()
-	return now.Sub(Instant(at)), at != 0
+// Tell returns the position and the proof's age at now, and false when there
+// is none.
+func (p *Proof) Tell(now Instant) (position int64, age time.Duration, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.position, now.Sub(p.at), p.at != 0
 }
 
 const (
--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -8,19 +8,38 @@
 func TestProof(t *testing.T) {
 	var p Proof
 	now := Now()
-	if p.Within(time.Hour, now) {
+	if p.Heard(0, now) || p.Within(time.Hour, now) {
 		t.Error("no proof counts as one")
 	}
-	p.Extend(now)
-	p.Extend(now.Add(-time.Second))
-	if age, ok := p.Age(now.Add(time.Second)); !ok || age != time.Second {
-		t.Errorf("age %v, %t", age, ok)
+	p.Read(7, now)
+	p.Read(5, now.Add(-time.Second))
+	if position, age, ok := p.Tell(now.Add(time.Second)); !ok || age != time.Second || position != 7 {
+		t.Errorf("position %d, age %v, %t", position, age, ok)
 	}
 	if !p.Within(time.Second, now.Add(time.Second)) || p.Within(time.Second, now.Add(time.Second+1)) {
 		t.Error("the bound is not kept")
 	}
 }
 
+// A daemon that is cut from the store may go by others, unless one of them has
+// read more than it.
+func TestProofOfOthers(t *testing.T) {
+	var p Proof
+	now := Now()
+	p.Read(7, now)
+	later := now.Add(3 * time.Second)
+	for _, tc := range []struct {
+		name     string
+		position int64
+		proves   bool
+	}{{"same", 7, true}, {"shorter", 6, true}, {"longer", 8, false}} {
+		q := Proof{at: p.at, position: p.position}
+		if q.Heard(tc.position, later) == tc.proves || q.Within(time.Second, later) != tc.proves {
+			t.Errorf("%s reading: proves is not %t", tc.name, tc.proves)
+		}
+	}
+}
+
 func TestClockDoesNotGoBack(t *testing.T) {
 	before := Now()
 	time.Sleep(time.Millisecond)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -77,9 +77,15 @@
 
 // start runs a gateway before the replicas, with routes for each kind.
 func start(t *testing.T, replicas ...*replica) *fixture {
+	t.Helper()
+	return startProved(t, freshness.Now(), replicas...)
+}
+
+// startProved is start with a configuration that was proved at the instant.
+func startProved(t *testing.T, at freshness.Instant, replicas ...*replica) *fixture {
 	t.Helper()
 	f := &fixture{watcher: catalog.NewWatcher(), proof: &freshness.Proof{}}
-	f.proof.Extend(freshness.Now())
+	f.proof.Read(0, at)
 	c := &catalog.Config{
 		Version: 1, Routes: make(map[string][]*catalog.Route), NeedsKey: true,
 		Services:   map[string]*catalog.Service{"s": {Name: "s"}},
@@ -289,9 +295,7 @@
 // Keys must not be accepted when they may have been taken away meanwhile.
 func TestKeysAreRefusedWhenNotProved(t *testing.T) {
 	r := newReplica(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
-	f := start(t, r)
-	*f.proof = freshness.Proof{}
-	f.proof.Extend(freshness.Now().Add(-2 * time.Minute))
+	f := startProved(t, freshness.Now().Add(-2*time.Minute), r)
 	for path, want := range map[string]int{
 		"/once/": http.StatusServiceUnavailable, "/public/": http.StatusOK, "/unknown/": http.StatusServiceUnavailable,
 	} {
@@ -302,7 +306,7 @@
 	if f.gateway.Ready() {
 		t.Error("the daemon is ready though it accepts no key")
 	}
-	f.proof.Extend(freshness.Now())
+	f.proof.Read(0, freshness.Now())
 	for path, want := range map[string]int{"/once/": http.StatusOK, "/unknown/": http.StatusNotFound} {
 		if res, _, err := f.ask(t, path); err != nil || res.StatusCode != want {
 			t.Errorf("%s: %v %v, want %d", path, res, err, want)
