Refuse what would be late, keep a third of the engines for short work

Ruled out: a larger bonus for owners (90 ms, copies at 40 tokens a ms): no gain over 40 and 60; refusing alone: within noise.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -20,9 +20,11 @@
 	// fetchRate is the number of tokens whose cache entries move from one engine
 	// to another in a millisecond.
 	fetchRate = 200
+	// copyRate is the number of tokens whose second copy is worth a millisecond.
+	copyRate = 60
 	// ownerBonus makes prompts with the same parts meet at one engine while
 	// nothing else speaks for one.
-	ownerBonus = 15 * time.Millisecond
+	ownerBonus = 40 * time.Millisecond
 	// callCost is the same for a plain service with all slots in use.
 	callCost = 60 * time.Millisecond
 	// farCost is added for an upstream in another data centre.
@@ -43,11 +45,11 @@
 	longTokens = 2000
 	// shortLane is the part of the engines that long work leaves to short work
 	// while it can.
-	shortLane = 0.25
+	shortLane = 0.34
 	// longInShort and shortInLong are the delays that are worth keeping long
 	// work out of the engines for short work, and short work out of the others.
 	longInShort = 900 * time.Millisecond
-	shortInLong = 600 * time.Millisecond
+	shortInLong = 400 * time.Millisecond
 	// fetchMin is the number of shared tokens from which on moving their cache
 	// entries takes less time than computing them.
 	fetchMin = 256
@@ -217,12 +219,13 @@
 	score += at.cost(w.Prompt, u)
 	held, fetched := b.reuse(snap, w, u, p, at, now)
 	p.tokens = max(0, w.Prompt.Tokens-held-fetched)
-	p.Wait = scale(requestCost, slow*requests) + queueing(requests, u.Slots) + prefill((tokens+float64(p.tokens))*slow) + fetch(fetched)
+	p.Ahead = scale(requestCost, slow*requests) + queueing(requests, u.Slots) + prefill(tokens*slow)
+	p.Wait = p.Ahead + prefill(float64(p.tokens)*slow) + fetch(fetched)
 	stale, ok := b.stale(snap, w, p, now)
 	if !ok {
 		return nil, 0
 	}
-	return p, score + stale + p.Wait
+	return p, score + stale + p.Wait + copyCost(fetched)
 }
 
 // cost returns what keeping kinds of work apart, and alike prompts together,
@@ -278,6 +281,12 @@
 	return nil
 }
 
+// copyCost returns what a second copy of cache entries costs: it displaces as
+// many others, of which some have to be computed again.
+func copyCost(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / copyRate * float64(time.Millisecond))
+}
+
 func fetch(tokens int) time.Duration {
 	return time.Duration(float64(tokens) / fetchRate * float64(time.Millisecond))
 }
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -77,6 +77,7 @@
 	Upstream *catalog.Upstream
 	Version  uint64        // weights version to expect; 0: any
 	Wait     time.Duration // expected until the first byte
+	Ahead    time.Duration // part of it that other requests take
 	Fetch    string        // address of an engine that presumably holds the prompt's parts; empty: none
 	tokens   int           // of the prompt, that are not computed yet
 	prefixes []uint64      // of its leading parts
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -115,6 +115,10 @@
 	if pick == nil {
 		return nil, refusal.New(refusal.NoUpstream, "no upstream of the service can take the request").After(busyRetry)
 	}
+	if after, refused := pick.Overloaded(q.route.Objective, q.again()); refused && q.admits() {
+		g.opts.Balancer.Done(pick, balance.Cancelled, now)
+		return nil, refusal.New(refusal.Overloaded, "the engines have more work than they can do in time").After(after)
+	}
 	a := &attempt{pick: pick, number: len(q.tried) + 1}
 	q.tried = append(q.tried, pick.Upstream.Key())
 	if err := g.checkAgain(q); err != nil {
@@ -129,6 +133,22 @@
 	return nil, err
 }
 
+// admits reports whether the request may still be refused for want of room:
+// it was not sent yet, and goes to an engine.
+func (q *request) admits() bool {
+	return q.service.Engine != nil && !q.answered && q.sends == 0
+}
+
+// freshShare is the part of the route's timeout that a caller's first attempt
+// has left, at least.
+const freshShare = 0.95
+
+// again reports whether the caller was refused before: then it has less time
+// left than the route gives.
+func (q *request) again() bool {
+	return q.Budget > 0 && q.Budget < time.Duration(freshShare*float64(q.route.Timeout))
+}
+
 // movable reports whether the request may go on at another upstream.
 func (q *request) movable() bool {
 	return q.route.Kind == catalog.Stream && q.route.Resumable && q.runs+1 < q.route.MaxAttempts
@@ -270,16 +290,21 @@
 	return "shared"
 }
 
-// urgencyMax is the least urgent rank that engines know.
-const urgencyMax = 9
+// Ranks that engines know: urgencyMax is the least urgent. Each rank of a
+// workspace has room for those of routes.
+const (
+	urgencyMax = 9
+	routeRanks = 3
+)
 
-// urgency returns the rank for engines; a workspace's own goes before the route's.
+// urgency returns the rank for engines: the workspace's goes first, where it
+// has one, then the route's.
 func urgency(r *catalog.Route, w *catalog.Workspace) int {
-	rank := r.Rank
+	first := r.Rank
 	if w != nil && w.Rank != catalog.RankUnset {
-		rank = w.Rank
+		first = w.Rank
 	}
-	return min(max(rank, 0), urgencyMax)
+	return min(max(first, 0)*routeRanks+min(max(r.Rank, 0), routeRanks-1), urgencyMax)
 }
 
 // hopByHop are the header fields that concern one connection only (RFC 9110,
