--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"sync"
 	"time"
 
@@ -194,145 +193,6 @@
 	return short
 }
 
-// weigh returns u as a candidate with its score: the expected wait and what
-// else speaks against it.
-func (b *Balancer) weigh(snap *catalog.Snapshot, w *Work, u *catalog.Upstream, at place, now time.Time) (*Pick, time.Duration) {
-	s := b.of(u.Key(), now)
-	p := &Pick{Upstream: u, state: s}
-	score := time.Duration(0)
-	if paused := max(s.pausedUntil.Sub(now), s.closedUntil.Sub(now)); paused > 0 {
-		score += paused + pauseMax
-	}
-	if u.DataCentre != b.opts.DataCentre {
-		score += farCost
-	}
-	if s.failingAt(now) {
-		score += failingCost
-	}
-	slow := max(1, s.slowdown)
-	requests, tokens := b.work(s, now)
-	if w.Prompt == nil {
-		p.Wait = scale(callCost, slow*requests/float64(max(1, u.Slots)))
-		return p, score + p.Wait
-	}
-	p.Version = s.version(u, w.Prompt.Model)
-	score += at.cost(w.Prompt, u)
-	held, fetched := b.reuse(snap, w, u, p, at, now)
-	p.tokens = max(0, w.Prompt.Tokens-held-fetched)
-	p.Ahead = scale(requestCost, slow*requests) + queueing(requests, u.Slots) + prefill(tokens*slow)
-	p.Wait = p.Ahead + prefill(float64(p.tokens)*slow) + fetch(fetched)
-	stale, ok := b.stale(snap, w, p, now)
-	if !ok {
-		return nil, 0
-	}
-	return p, score + stale + p.Wait + copyCost(fetched)
-}
-
-// cost returns what keeping kinds of work apart, and alike prompts together,
-// says of u.
-func (at *place) cost(p *Prompt, u *catalog.Upstream) time.Duration {
-	cost := time.Duration(0)
-	switch {
-	case p.long() && at.short[u.ID]:
-		cost = longInShort
-	case !p.long() && !at.short[u.ID]:
-		cost = shortInLong
-	}
-	if u == at.owner {
-		cost -= ownerBonus
-	}
-	return cost
-}
-
-// reuse returns how many of the prompt's tokens u holds, and how many more it
-// can fetch from another engine, whose address it notes in p.
-func (b *Balancer) reuse(snap *catalog.Snapshot, w *Work, u *catalog.Upstream, p *Pick, at place, now time.Time) (held, fetched int) {
-	holdings, ok := at.holdings[p.Version]
-	if !ok {
-		holdings = b.holdings(w, p.Version, now)
-		at.holdings[p.Version] = holdings
-	}
-	held = tokensOf(holdings, u.Key().Short())
-	for _, h := range holdings {
-		if h.tokens < held+fetchMin {
-			break
-		}
-		if source := b.source(snap, w, h.upstream, p.Version, now); source != nil && source != u {
-			p.Fetch = source.Address
-			return held, h.tokens - held
-		}
-	}
-	return held, 0
-}
-
-// source returns the engine with a short name, if it still serves version and
-// nothing speaks against asking it.
-func (b *Balancer) source(snap *catalog.Snapshot, w *Work, short uint32, version uint64, now time.Time) *catalog.Upstream {
-	for _, u := range snap.Of(w.Service) {
-		if u.Key().Short() != short {
-			continue
-		}
-		s := b.of(u.Key(), now)
-		if now.Before(s.pausedUntil) || now.Before(s.closedUntil) || s.version(u, w.Prompt.Model) != version {
-			return nil
-		}
-		return u
-	}
-	return nil
-}
-
-// copyCost returns what a second copy of cache entries costs: it displaces as
-// many others, of which some have to be computed again.
-func copyCost(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / copyRate * float64(time.Millisecond))
-}
-
-func fetch(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / fetchRate * float64(time.Millisecond))
-}
-
-// queueing returns the wait for a slot of an engine.
-func queueing(requests float64, slots int) time.Duration {
-	if slots <= 0 || requests < float64(slots) {
-		return 0
-	}
-	return scale(slotTime, (requests-float64(slots)+1)/float64(slots))
-}
-
-// work returns the requests at an upstream and the tokens that wait in it.
-func (b *Balancer) work(s *state, now time.Time) (requests, tokens float64) {
-	requests, tokens = float64(s.own.Requests), float64(s.own.Tokens)
-	if now.Sub(b.sharedAt) > sharedMax {
-		return requests + s.othersAt(now), tokens
-	}
-	others := s.fromPeers(now)
-	return requests + float64(others.Requests), tokens + float64(others.Tokens)
-}
-
-// stale returns what speaks against the weights that p's engine serves, and
-// false when the request would begin on them too late.
-func (b *Balancer) stale(snap *catalog.Snapshot, w *Work, p *Pick, now time.Time) (time.Duration, bool) {
-	age, behind := snap.Weights[w.Prompt.Model].Behind(p.Version, now)
-	if !behind || p.Version == 0 {
-		return 0, true
-	}
-	if b.opts.StaleRefused > 0 && age+scale(p.Wait, staleWait) > b.opts.StaleRefused {
-		return 0, false
-	}
-	if age > staleAfter {
-		return staleCost, true
-	}
-	return 0, true
-}
-
-func prefill(tokens float64) time.Duration {
-	return time.Duration(tokens / prefillRate * float64(time.Millisecond))
-}
-
-func scale(d time.Duration, factor float64) time.Duration {
-	return time.Duration(float64(d) * factor)
-}
-
 func (b *Balancer) of(k catalog.Key, now time.Time) *state {
 	s, ok := b.upstreams[k]
 	if !ok {
@@ -341,18 +201,3 @@
 	}
 	return s
 }
-
-// othersAt returns the estimated requests of other daemons.
-func (s *state) othersAt(now time.Time) float64 {
-	if s.reportedAt.IsZero() {
-		return 0
-	}
-	age := now.Sub(s.reportedAt).Seconds() / reportHalfLife.Seconds()
-	return s.others * math.Exp2(-age)
-}
-
-// version returns the weights version that u serves: the newest that it was
-// heard of, since versions of one incarnation only grow.
-func (s *state) version(u *catalog.Upstream, model string) uint64 {
-	return max(u.Weights[model], s.weights[model])
-}
--- a/internal/filter/dispatch/call.go
+++ b/internal/filter/dispatch/call.go
@@ -5,10 +5,10 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 
 	"currantpulley/internal/event"
 	"currantpulley/internal/failure"
+	"currantpulley/internal/hop"
 	"currantpulley/internal/pipe"
 	"currantpulley/internal/upstream"
 )
@@ -17,24 +17,11 @@
 // key stays here.
 const headerWorkspace = "X-Workspace"
 
-// hopByHop are the header fields that concern one connection only (RFC 9110,
-// section 7.6.1), and the caller's key.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", "Content-Length", "Host",
-}
-
-// endToEnd returns the fields of h that pass a router.
+// endToEnd returns the fields of a caller's or service's header that pass on.
+// The caller's key stays here.
 func endToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	for _, named := range h.Values("Connection") {
-		for name := range strings.SplitSeq(named, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
+	out := hop.EndToEnd(h)
+	out.Del("Authorization")
 	return out
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"time"
 
 	"currantpulley/internal/balance"
@@ -15,6 +14,7 @@
 	"currantpulley/internal/event"
 	"currantpulley/internal/failure"
 	"currantpulley/internal/freshness"
+	"currantpulley/internal/hop"
 	"currantpulley/internal/refusal"
 	"currantpulley/internal/upstream"
 )
@@ -196,7 +196,7 @@
 	req := &http.Request{
 		Method: q.r.Method, URL: &u, Host: q.r.Host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Header: endToEnd(q.r.Header),
+		Header: hop.EndToEnd(q.r.Header),
 		Body:   http.NoBody,
 	}
 	if len(q.body) > 0 {
@@ -306,24 +306,3 @@
 	}
 	return min(max(first, 0)*routeRanks+min(max(r.Rank, 0), routeRanks-1), urgencyMax)
 }
-
-// hopByHop are the header fields that concern one connection only (RFC 9110,
-// section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect",
-}
-
-// endToEnd returns the fields of h that pass a router.
-func endToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	for _, named := range h.Values("Connection") {
-		for name := range strings.SplitSeq(named, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,7 @@
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/event"
 	"currantpulley/internal/freshness"
+	"currantpulley/internal/hop"
 	"currantpulley/internal/upstream"
 )
 
@@ -64,7 +65,7 @@
 // startAnswer sends the status line and the header fields.
 func (g *Gateway) startAnswer(q *request, a *attempt, whole bool, length int) {
 	h := q.w.Header()
-	for name, values := range endToEnd(a.answer.Header) {
+	for name, values := range hop.EndToEnd(a.answer.Header) {
 		h[name] = values
 	}
 	if whole {
