--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -117,7 +117,8 @@
 	}
 	if after, refused := pick.Overloaded(q.route.Objective, q.again()); refused && q.admits() {
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
-		return nil, refusal.New(refusal.Overloaded, "the engines have more work than they can do in time").After(after)
+		return nil, refusal.New(refusal.Overloaded, "the engines have more work than they can do in time").After(after).
+			Because(fmt.Errorf("%v of work ahead at %s, the least of all, objective %v", pick.Ahead, pick.Upstream.ID, q.route.Objective))
 	}
 	a := &attempt{pick: pick, number: len(q.tried) + 1}
 	q.tried = append(q.tried, pick.Upstream.Key())
