--- a/bench/table/page.go
+++ b/bench/table/page.go
@@ -41,6 +41,10 @@
 token. The ideal is one LRU cache with the capacity of all, and engines without
 queues. Network delays between data centres are not modelled.
 
+## On the users' platform
+
+What the users' bench measured stands in [platform](measures/platform.md).
+
 `
 
 func (t *Table) page() string {
