Never run a function whose caller gave up

Ruled out: guarding each caller: thirty places use the pattern. Change: loop.Do gives a function up when its context ends before it has begun, and waits for one that runs.

--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,21 +35,33 @@
 }
 
 // Do runs f on the control goroutine and waits for it. It returns ctx's error
-// when ctx ends first; f may still run then.
+// when ctx ends before f has begun; f does not run then.
 func (l *Loop) Do(ctx context.Context, f func(now time.Time)) error {
+	var taken atomic.Bool // by the loop, which runs f, or by a caller that gave up
 	ran := make(chan struct{})
 	l.Post(func(now time.Time) {
-		f(now)
+		if taken.CompareAndSwap(false, true) {
+			f(now)
+		}
 		close(ran)
 	})
 	select {
 	case <-ran:
 		return nil
 	case <-l.done:
-		return context.Canceled
+		return l.abandoned(&taken, ran, context.Canceled)
 	case <-ctx.Done():
-		return ctx.Err()
+		return l.abandoned(&taken, ran, ctx.Err())
+	}
+}
+
+// abandoned gives up a function that has not begun, and otherwise waits for it.
+func (l *Loop) abandoned(taken *atomic.Bool, ran <-chan struct{}, err error) error {
+	if taken.CompareAndSwap(false, true) {
+		return err
 	}
+	<-ran
+	return nil
 }
 
 // Every posts f each period until ctx ends. A tick is skipped while an
