--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -162,7 +162,7 @@
 	if w.Prompt == nil {
 		return place{}
 	}
-	p := place{short: lane(all), holdings: make(map[uint64][]holding, 2)}
+	p := place{short: ShortLane(all), holdings: make(map[uint64][]holding, 2)}
 	key := rendezvous.Hash(w.Prompt.group())
 	var most uint64
 	for _, u := range all {
@@ -177,11 +177,8 @@
 	return p
 }
 
-// Short reports whether an engine of a service is kept for short work.
-func Short(all []*catalog.Upstream, id string) bool { return lane(all)[id] }
-
-// lane returns the engines that are kept for short work.
-func lane(all []*catalog.Upstream) map[string]bool {
+// ShortLane returns the ids of a service's engines that are kept for short work.
+func ShortLane(all []*catalog.Upstream) map[string]bool {
 	names := make([]uint64, len(all))
 	for i, u := range all {
 		names[i] = rendezvous.Hash(u.ID)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,7 +29,6 @@
 // attempt is one request to an upstream.
 type attempt struct {
 	pick   *balance.Pick
-	number int
 	answer *http.Response
 	head   Inbound
 }
@@ -120,7 +119,7 @@
 		return nil, refusal.New(refusal.Overloaded, "the engines have more work than they can do in time").After(after).
 			Because(fmt.Errorf("%v of work ahead at %s, the least of all, objective %v", pick.Ahead, pick.Upstream.ID, q.route.Objective))
 	}
-	a := &attempt{pick: pick, number: len(q.tried) + 1}
+	a := &attempt{pick: pick}
 	q.tried = append(q.tried, pick.Upstream.Key())
 	if err := g.checkAgain(q); err != nil {
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -14,13 +14,12 @@
 
 // Call is a request as its caller's headers describe it.
 type Call struct {
-	ID         string          // of this attempt of the caller
-	Key        string          // names the workspace; empty: none
-	Budget     time.Duration   // that the caller will wait; 0: not said
-	Prompt     *balance.Prompt // nil: not said
-	LastEvent  uint64          // the last event of a stream that the caller has
-	HasLast    bool
-	OutputHint int // tokens that the caller expects; 0: not said
+	ID        string          // of this attempt of the caller
+	Key       string          // names the workspace; empty: none
+	Budget    time.Duration   // that the caller will wait; 0: not said
+	Prompt    *balance.Prompt // nil: not said
+	LastEvent uint64          // the last event of a stream that the caller has
+	HasLast   bool
 }
 
 // Outbound is what an upstream is told beside the caller's own headers.
@@ -33,18 +32,16 @@
 	Urgency   int    // 0 is the most urgent; below 0: not set
 	LastEvent uint64 // of a stream that is resumed
 	Resume    bool
-	SaveTo    string // address of a store for cache entries
 	FetchFrom string // address to fetch cache entries from
 }
 
 // Inbound is what the head of an upstream's answer says.
 type Inbound struct {
-	ID       string // of the request that it answers
-	Signed   bool   // carries the upstream's signature
-	NotRun   bool   // the upstream states that the request did not run
-	Instance string // of the upstream, where it says so
-	Version  uint64 // weights version; 0: not said
-	Load     *balance.Load
+	ID      string // of the request that it answers
+	Signed  bool   // carries the upstream's signature
+	NotRun  bool   // the upstream states that the request did not run
+	Version uint64 // weights version; 0: not said
+	Load    *balance.Load
 }
 
 // Dialect reads and writes the headers that callers and upstreams use.
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -68,8 +68,8 @@
 	// Work returns the requests of all daemons in u, and how many of them
 	// can't go on at another engine.
 	Work func(u *catalog.Upstream) (requests, fixed int)
-	// Lane returns the lane of an engine of a service.
-	Lane func(all []*catalog.Upstream, id string) int
+	// Lanes returns the lanes of a service's engines by their ids.
+	Lanes func(all []*catalog.Upstream) map[string]int
 	// Closing tells all daemons to send no new work to an engine for a while.
 	Closing func(k catalog.Key, d time.Duration, token uint64)
 	// Opened tells all daemons that an engine takes work again; version is
@@ -204,7 +204,9 @@
 
 func (r *Runner) plan(ctx context.Context, snap *catalog.Snapshot, s *catalog.Service, model string, wanted, token uint64, now time.Time) {
 	var engines []Engine
-	for _, u := range snap.Of(s.Name) {
+	all := snap.Of(s.Name)
+	lanes := r.opts.Lanes(all)
+	for _, u := range all {
 		if u.Leaving {
 			continue
 		}
@@ -212,7 +214,7 @@
 		rec.Version = max(rec.Version, r.opts.Version(u, model))
 		requests, _ := r.opts.Work(u)
 		rec.Load = float64(requests)
-		rec.Lane = r.opts.Lane(snap.Of(s.Name), u.ID)
+		rec.Lane = lanes[u.ID]
 		if t := r.turns[u.Key()]; t.until.After(rec.RetryAt) {
 			rec.RetryAt = t.until
 		}
