Send notices about engines down a broadcast tree

Cause: unbounded fan-out by one process. A notice was one call to each other daemon, with the whole state and one in reply, and a rollout announces two notices for each engine: 220 calls an order at 111 daemons. The holder of the lease, a VM with 0.134 of a core, was at its limit and gave 4.9 orders a second, so engines still served the older weights 7 to 8 s after the announcement. Ruled out: the engines (about 20 loads a second at 12 at once), the store (renewals in time). Change: notices have a call of their own. It goes down the tree of internal/control/broadcast, notices of 10 ms in one call, and each daemon forwards once. Notices are numbered, so that one that comes again or late isn't applied, and are repeated with the states for at least two periods, which is longer than the second it was at 111 daemons. broadcast.Ring.Send now holds the loop with the fallback, which membership has used before. TestNoticesAreRepeatedUntilTheyExpire only names the field's new place.

--- a/internal/control/broadcast/broadcast.go
+++ b/internal/control/broadcast/broadcast.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/rendezvous"
@@ -80,5 +81,23 @@
 	return vm, true
 }
 
+// Send calls send once for each hop from level first on, concurrently, and again
+// with the hop's fallback if that fails. level is the one from which the called VM
+// forwards. It returns when all calls have returned.
+func (r Ring) Send(first int, send func(vm fleet.VM, level int) error) {
+	var wg sync.WaitGroup
+	for _, hop := range r.Hops(first) {
+		wg.Go(func() {
+			if send(hop.VM, hop.Level+1) == nil {
+				return
+			}
+			if fallback, ok := r.Fallback(hop); ok {
+				_ = send(fallback, hop.Level+1) // send logs its failures
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // at returns the VM at a distance from this one.
 func (r Ring) at(offset int) fleet.VM { return r.vms[(r.self+offset)%len(r.vms)] }
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -5,8 +5,8 @@
 //
 // Each pair of daemons exchanges states in one call per period. The period grows
 // with the number of daemons, so that the bytes per second of one daemon don't.
-// Notices about engines go to all daemons at once, and are repeated with each
-// state for a short time in case a call is lost.
+// Notices about engines go to all daemons at once down a broadcast tree, and are
+// repeated with each state for a short time in case a call is lost.
 package exchange
 
 import (
@@ -27,13 +27,12 @@
 )
 
 const (
-	periodMin        = 150 * time.Millisecond // shortest period
-	periodPerVM      = 10 * time.Millisecond  // of the period, for each live VM
-	callTimeout      = 300 * time.Millisecond
-	stalePeriods     = 4           // periods after which the work of a daemon without new states is dropped
-	noticeRepeatTime = time.Second // for which a notice is sent with each state
-	heldPeriods      = 2           // periods for which a computed prefix is sent
-	maxHeld          = 24          // maximum number of computed prefixes in one state
+	periodMin    = 150 * time.Millisecond // shortest period
+	periodPerVM  = 10 * time.Millisecond  // of the period, for each live VM
+	callTimeout  = 300 * time.Millisecond
+	stalePeriods = 4  // periods after which the work of a daemon without new states is dropped
+	heldPeriods  = 2  // periods for which a computed prefix is sent
+	maxHeld      = 24 // maximum number of computed prefixes in one state
 )
 
 // Use is a daemon's own work at one engine.
@@ -42,17 +41,6 @@
 	balance.Use
 }
 
-// Notice announces that an engine is about to load weights or has loaded them,
-// that an upstream departs, or the state of a store of cache entries.
-type Notice struct {
-	Upstream uint32        // short id of the upstream or store
-	Closed   bool          // the upstream gets no new work
-	TTL      time.Duration // for which a closed upstream stays closed without another notice
-	Model    string
-	Weights  uint64 // version that is served; 0: unknown
-	Token    uint64 // fencing token of the ordering daemon, or the epoch of a store
-}
-
 // Announcement is a weights version of a model and the time since it was first
 // announced.
 type Announcement struct {
@@ -102,24 +90,18 @@
 	opts        Options
 	incarnation uint64
 	sequence    uint64
-	lastState   map[string]stateID   // newest state applied, by daemon
-	notices     map[uint32]announced // this daemon's own, by short id of the upstream or store
+	lastState   map[string]stateID // newest state applied, by daemon
+	notices     notices
 }
 
 // stateID orders the states of a daemon.
 type stateID struct{ incarnation, sequence uint64 }
 
-// announced is a notice and the time at which it was announced.
-type announced struct {
-	Notice
-	at time.Time
-}
-
 // New returns an Exchange that has not received any state.
 func New(o Options) *Exchange {
 	return &Exchange{
 		opts: o, incarnation: uint64(time.Now().UnixNano()),
-		lastState: make(map[string]stateID), notices: make(map[uint32]announced),
+		lastState: make(map[string]stateID), notices: newNotices(),
 	}
 }
 
@@ -143,16 +125,6 @@
 	}
 }
 
-// Announce sends a notice to all daemons at once, without waiting for answers.
-func (e *Exchange) Announce(ctx context.Context, n Notice) {
-	e.opts.Loop.Post(func(now time.Time) { e.notices[n.Upstream] = announced{n, now} })
-	for _, vm := range e.opts.View().Live() {
-		if vm.Name != e.opts.Self {
-			go e.exchangeWith(ctx, vm)
-		}
-	}
-}
-
 // period returns the time between two exchanges of a pair, for a number of live
 // daemons.
 func period(live int) time.Duration {
@@ -236,17 +208,7 @@
 	if position, age, ok := e.opts.Proof(); ok {
 		s.Proof = &exchangepb.Proof{Position: position, AgeMs: uint32(age.Milliseconds()) + 1}
 	}
-	for id, n := range e.notices {
-		remaining := n.TTL - now.Sub(n.at)
-		if now.Sub(n.at) > noticeRepeatTime || (n.Closed && remaining <= 0) {
-			delete(e.notices, id)
-			continue
-		}
-		s.Notices = append(s.Notices, &exchangepb.Notice{
-			Upstream: id, Closed: n.Closed, Milliseconds: uint32(max(0, remaining).Milliseconds()),
-			Model: n.Model, Weights: n.Weights, Token: n.Token,
-		})
-	}
+	s.Notices = e.notices.repeated(now, repeatTime(len(e.opts.View().Live())))
 	return s
 }
 
@@ -275,10 +237,8 @@
 	for _, a := range s.GetNamings() {
 		e.opts.OnAnnouncement(Announcement{a.GetModel(), a.GetWeights(), time.Duration(a.GetAgeMs()) * time.Millisecond})
 	}
+	now := time.Now()
 	for _, n := range s.GetNotices() {
-		e.opts.OnNotice(Notice{
-			Upstream: n.GetUpstream(), Closed: n.GetClosed(), TTL: time.Duration(n.GetMilliseconds()) * time.Millisecond,
-			Model: n.GetModel(), Weights: n.GetWeights(), Token: n.GetToken(),
-		})
+		e.applyNotice(s.GetVm(), s.GetIncarnation(), n, withState, now)
 	}
 }
--- a/internal/control/exchange/exchange_test.go
+++ b/internal/control/exchange/exchange_test.go
@@ -90,7 +90,7 @@
 	var notices []Notice
 	e := testExchange(&applied, &notices)
 	now := time.Now()
-	e.notices[7] = announced{Notice{Upstream: 7, Closed: true, TTL: 3 * time.Second, Token: 2}, now}
+	e.notices.own[7] = announced{Notice{Upstream: 7, Closed: true, TTL: 3 * time.Second, Token: 2}, now}
 	s := e.state(now.Add(noticeRepeatTime / 2))
 	if len(s.GetNotices()) != 1 || s.GetNotices()[0].GetMilliseconds() != 2500 {
 		t.Fatalf("%v", s.GetNotices())
@@ -111,3 +111,43 @@
 		}
 	}
 }
+
+// TestNoticesOvertakenOnTheirWay checks that a notice that comes again, or after a
+// later one about the same upstream, is not applied, and that one that came with a
+// state first is still forwarded.
+func TestNoticesOvertakenOnTheirWay(t *testing.T) {
+	var applied []Use
+	var received []Notice
+	e := testExchange(&applied, &received)
+	for i, step := range []struct {
+		origin                string
+		incarnation, number   uint64
+		level                 int
+		wantApplied, wantSent bool
+	}{
+		{"vm-001", 1, 1, withState, true, false},
+		{"vm-001", 1, 1, 3, false, true},
+		{"vm-001", 1, 1, 3, false, false},
+		{"vm-001", 1, 1, 1, false, true},
+		{"vm-001", 1, 1, 2, false, false},
+		{"vm-001", 1, 3, 2, true, true},
+		{"vm-001", 1, 2, 0, false, false},
+		{"vm-001", 1, 3, withState, false, false},
+		{"vm-002", 1, 1, 1, true, true},
+		{"vm-001", 2, 1, 1, true, true},
+		{"vm-001", 1, 9, 0, false, false},
+		{"vm-003", 1, 0, withState, true, false}, // from a daemon that doesn't number its notices
+		{"vm-003", 1, 0, withState, true, false},
+	} {
+		before := len(received)
+		n := &exchangepb.Notice{Upstream: 7, Closed: true, Milliseconds: 1000, Number: step.number}
+		forward := e.applyNotice(step.origin, step.incarnation, n, step.level, time.Now())
+		if got := len(received) > before; got != step.wantApplied || forward != step.wantSent {
+			t.Errorf("step %d: applied %t, forwarded %t", i, got, forward)
+		}
+	}
+	e.notices.sweep(time.Now().Add(2 * noticeMemory))
+	if len(e.notices.received) != 0 {
+		t.Errorf("%d numbers remembered", len(e.notices.received))
+	}
+}
--- a/internal/control/membership/service.go
+++ b/internal/control/membership/service.go
@@ -85,18 +85,9 @@
 func (s *Membership) forward(ctx context.Context, ring broadcast.Ring, first int, updates []*pb.Update) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	var wg sync.WaitGroup
-	for _, hop := range ring.Hops(first) {
-		wg.Go(func() {
-			if s.sendSpread(ctx, hop.VM, hop.Level+1, updates) == nil {
-				return
-			}
-			if fallback, ok := ring.Fallback(hop); ok {
-				_ = s.sendSpread(ctx, fallback, hop.Level+1, updates) // if this fails too, piggybacked gossip still delivers them
-			}
-		})
-	}
-	wg.Wait()
+	ring.Send(first, func(vm fleet.VM, level int) error {
+		return s.sendSpread(ctx, vm, level, updates) // if this fails, piggybacked gossip still delivers them
+	})
 }
 
 func (s *Membership) sendSpread(ctx context.Context, vm fleet.VM, level int, updates []*pb.Update) error {
