Let few daemons announce a departure that all have read

Cause: unbounded fan-out by all processes. All daemons follow the same topic and read of a departure within 1.3 s; each announced it to all others: 111 x 110 calls a departure, nine departures within a second, on connections that had to be opened first (175 -> 270 connections a VM). Ruled out: the callers (their load is the same before and after); the engines' restart (no calls of ours).

--- a/internal/control/peers/notices.go
+++ b/internal/control/peers/notices.go
@@ -14,6 +14,9 @@
 // handleNotice applies a notice of another daemon. It calls the function set by
 // OnOrder if the notice comes from an order.
 func (p *Peers) handleNotice(n exchange.Notice) {
+	if n.Closed && n.Token == 0 {
+		p.departures.record(n.Upstream, time.Now())
+	}
 	u := p.opts.Watcher.Load().ByShortID(n.Upstream)
 	if u == nil {
 		if p.knowsStore(n.Upstream) {
@@ -28,24 +31,6 @@
 	}
 }
 
-// departureNoticeTTL is the time for which a notice keeps work from an upstream
-// that departs. It is long enough for each daemon to read of the departure
-// itself.
-const departureNoticeTTL = 3 * time.Second
-
-// announceDepartures announces to all daemons the upstreams that this one has
-// read to be leaving. Each daemon reads rarely, but the first of them reads soon.
-func (p *Peers) announceDepartures(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case k := <-p.opts.Departures:
-			p.exchange.Announce(ctx, exchange.Notice{Upstream: k.ShortID(), Closed: true, TTL: departureNoticeTTL})
-		}
-	}
-}
-
 // applyNotice applies a notice about an engine to the balancer.
 func (p *Peers) applyNotice(k catalog.Key, n exchange.Notice, now time.Time) {
 	if n.Weights != 0 {
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -34,6 +34,7 @@
 	membership *membership.Membership
 	exchange   *exchange.Exchange
 	lag        freshness.Lag
+	departures departures
 	onOrder    atomic.Pointer[func(k catalog.Key, token uint64, open bool)]
 }
 
