--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,10 @@
 	Metrics     *metrics.Gateway // nil: metrics are discarded
 	Proof       *freshness.Proof // when the configuration was last proved to be the newest
 	MaxProofAge time.Duration    // maximum age of Proof at which keys are accepted
+	// StaleWeightsCut is the time after the announcement of a newer weights version
+	// from which a request that still waits in an engine with older weights is taken
+	// back; 0: never. It has no effect yet.
+	StaleWeightsCut time.Duration
 }
 
 // Gateway is the HTTP handler for callers' requests. It must be served by a
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -37,6 +37,9 @@
 	if ms, err := strconv.Atoi(h.Get("Budget")); err == nil {
 		c.MaxWait = time.Duration(ms) * time.Millisecond
 	}
+	if model := h.Get("Model"); model != "" {
+		c.Prompt = &balance.Prompt{Model: model, Tokens: 100}
+	}
 	return c, nil
 }
 
@@ -79,6 +82,8 @@
 	proof   *freshness.Proof
 	gateway *gateway.Gateway
 	address string
+
+	staleWeightsCut time.Duration // gateway.Options.StaleWeightsCut
 }
 
 // start runs a gateway in front of the replicas, with a route of each kind.
@@ -129,7 +134,8 @@
 		Metrics: metrics.NewGateway(f.metrics),
 		Dialect: dialect{}, Watcher: f.watcher, Balancer: balance.New(balance.Options{}),
 		Transport: upstream.NewTransport(), Recorder: f.record, Proof: f.proof, MaxProofAge: time.Minute,
-		Retries: retry.NewWindow(time.Now, 10*time.Second, 0.2, 100, func() int { return 1 }),
+		StaleWeightsCut: f.staleWeightsCut,
+		Retries:         retry.NewWindow(time.Now, 10*time.Second, 0.2, 100, func() int { return 1 }),
 	})
 	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Handler: f.gateway, Limits: func() server.Limits {
 		return server.Limits{MaxBody: 1 << 20, MaxHeader: 1 << 14, MaxConnections: 100, ReadTimeout: time.Second, WriteTimeout: time.Second}
