Take back requests that wait in an engine with replaced weights

Cause: the age of an engine's weights was checked only in Balancer.Pick, with the expected wait. Nothing watched the request while it waited in the engine. Ruled out: a larger staleWaitFactor (the wait seen was 15 times the expected one, and a version announced later is not covered); a check when the first event arrives (the run has begun by then); a goroutine or a poll per request. Change: each attempt at an engine has its own context and one timer until the first event of a stream or the head of another answer. The timer looks at the current target; at Options.StaleWeightsCut after the announcement of the first newer version it cancels the attempt with a cause, which closes the connection to the engine. The retry rules then apply: a request that may be repeated goes elsewhere, any other ends with 502. The same check is made right before the request is sent; there it fails as not run. Event 2014 attempt_withdrawn has weights version, age, wait and expected wait; 2004 follows it as for every failed attempt. The balancer gets the outcome Cancelled, whose description now says so. Failed would keep work from an engine that is only slow. Busy says that the engine refused, and its backoff would gain nothing: Pick gives the engine no more work of this model until it has newer weights, and the cancellations shorten its queue. Its cases with a late announcement now announce 0.3 s after the start, after the first check; before, they passed without re-arming the timer. New: the head of a stream does not end the watch; an answer that began is not taken back; nothing is sent to weights that are too old; event and metrics; the table for the delay. Not covered: an announcement that the daemon learns late makes the check late by at most that delay, and an engine that goes on after its connection is closed.

--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -32,7 +32,7 @@
 	Served    Outcome = iota
 	Failed            // did not answer, or violated the protocol
 	Busy              // refused the request without running it
-	Cancelled         // ended by the caller or its deadline
+	Cancelled         // ended by this side: by the caller, its deadline or the age of the weights
 )
 
 // String returns the outcome's name in metrics.
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -11,6 +11,7 @@
 	StreamBroken      ID = 2007
 	AttemptHedged     ID = 2012
 	ConnectionRefused ID = 2013
+	AttemptWithdrawn  ID = 2014
 )
 
 var requestEvents = []Definition{
@@ -23,4 +24,5 @@
 	{StreamBroken, "stream_broken", Warn, "A stream ended with an explicit error event."},
 	{AttemptHedged, "attempt_hedged", Info, "A second (hedged) attempt was started beside a slow first one."},
 	{ConnectionRefused, "connection_refused", Warn, "A caller's connection was refused because too many are open."},
+	{AttemptWithdrawn, "attempt_withdrawn", Warn, "A request that waited in an engine was cancelled there, because the engine's weights were replaced too long ago."},
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,6 +33,7 @@
 	pick     *balance.Pick
 	response *http.Response
 	head     Inbound
+	watch    *weightsWatch // nil: its weights are not watched
 }
 
 // failedAttempt is the error of an attempt without a usable response.
@@ -193,7 +194,11 @@
 	if err != nil {
 		return &failedAttempt{notRun: true, err: err}
 	}
-	res, err := upstream.RoundTrip(g.opts.Transport, req) //nolint:bodyclose // closed when relayed or refused
+	ctx, err := g.watchWeights(q, a)
+	if err != nil {
+		return &failedAttempt{notRun: true, err: err}
+	}
+	res, err := upstream.RoundTrip(g.opts.Transport, req.WithContext(ctx)) //nolint:bodyclose // closed when relayed or refused
 	if err != nil {
 		sent := upstream.Sent(err)
 		if sent {
@@ -205,9 +210,30 @@
 	q.sends++
 	a.response = res
 	a.head = g.opts.Dialect.Inbound(res.StatusCode, res.Header)
-	if err := g.checkHead(q, a); err != nil {
+	err = g.checkHead(q, a)
+	if err == nil {
+		err = q.checkBegun(a)
+	}
+	if err != nil {
 		_ = res.Body.Close()
-		return err
+	}
+	return err
+}
+
+// isEventStream reports whether a's response is relayed event by event.
+func (q *request) isEventStream(a *attempt) bool {
+	return q.route.Kind == catalog.Stream && a.response.StatusCode == http.StatusOK
+}
+
+// checkBegun ends the watch of a's weights if the head shows that the answer
+// began. An event stream begins with its first event. checkBegun returns a
+// *failedAttempt if the attempt was cancelled before.
+func (q *request) checkBegun(a *attempt) error {
+	if q.isEventStream(a) {
+		return nil
+	}
+	if err := a.watch.stop(); err != nil {
+		return &failedAttempt{sent: true, err: err}
 	}
 	return nil
 }
@@ -247,7 +273,7 @@
 		o.SaveTo = a.pick.Save
 	}
 	g.opts.Dialect.Outbound(req.Header, o)
-	return req.WithContext(q.ctx), nil
+	return req, nil
 }
 
 // checkHead takes the load and the weights version from the head of the
@@ -291,7 +317,7 @@
 	if errors.As(err, &f) && f.refused {
 		outcome = balance.Busy
 	}
-	if q.ctx.Err() != nil {
+	if q.ctx.Err() != nil || a.watch.stop() != nil {
 		outcome = balance.Cancelled
 	}
 	g.end(a, outcome)
@@ -303,6 +329,7 @@
 
 // end reports the outcome of an attempt to the balancer and the metrics.
 func (g *Gateway) end(a *attempt, o balance.Outcome) {
+	_ = a.watch.stop()
 	g.opts.Balancer.Done(a.pick, o, freshness.Time())
 	g.opts.Metrics.Attempt(o.String())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,7 +37,7 @@
 	MaxProofAge time.Duration    // maximum age of Proof at which keys are accepted
 	// StaleWeightsCut is the time after the announcement of a newer weights version
 	// from which a request that still waits in an engine with older weights is taken
-	// back; 0: never. It has no effect yet.
+	// back; 0: never.
 	StaleWeightsCut time.Duration
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"currantpulley/internal/balance"
-	"currantpulley/internal/catalog"
 	"currantpulley/internal/event"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/hop"
@@ -23,7 +22,7 @@
 
 // relay sends a's response to the caller.
 func (g *Gateway) relay(q *request, a *attempt) error {
-	if q.route.Kind == catalog.Stream && a.response.StatusCode == http.StatusOK {
+	if q.isEventStream(a) {
 		return g.relayStream(q, a)
 	}
 	return g.relayBuffered(q, a)
@@ -177,6 +176,9 @@
 		if err != nil {
 			return err
 		}
+		if err := a.watch.stop(); err != nil {
+			return err
+		}
 		if e.id != 0 && e.id <= *last {
 			continue
 		}
--- a/internal/gateway/staleweights_test.go
+++ b/internal/gateway/staleweights_test.go
@@ -1,14 +1,21 @@
 package gateway_test
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/freshness"
+	"currantpulley/internal/metrics"
 )
 
 const (
@@ -25,15 +32,16 @@
 	f := start(t)
 	f.watcher.Load().Config.Services["s"].Engine = &catalog.Engine{Slots: 8}
 	f.staleWeightsCut = weightsCut
+	f.logs = &bytes.Buffer{} // the first gateway's log still has the other
 	f.serve(t, f.logs)
 	f.putEngine(r, 1)
 	return f
 }
 
-// putEngine adds an engine with the given weights version.
+// putEngine adds an engine with the given weights version, which its id ends with.
 func (f *fixture) putEngine(r *replica, version uint64) {
 	f.watcher.PutUpstream(&catalog.Upstream{
-		ID: "engine-" + r.URL, Service: "s", Address: strings.TrimPrefix(r.URL, "http://"), Slots: 8,
+		ID: fmt.Sprint("engine-", version), Service: "s", Address: strings.TrimPrefix(r.URL, "http://"), Slots: 8,
 		Weights: map[string]uint64{engineModel: version},
 	})
 }
@@ -70,6 +78,7 @@
 				_, _ = io.Copy(io.Discard, req.Body) // net/http detects a disconnect only after the body was read
 				f.putEngine(second, 2)
 				if tc.late {
+					time.Sleep(3 * weightsCut / 2) // after the first check of the weights
 					f.announce(0)
 				}
 				<-req.Context().Done()
@@ -97,3 +106,122 @@
 		})
 	}
 }
+
+// The head of an event stream does not show that the request began: an engine may
+// send it at once.
+func TestHeadOfStreamDoesNotEndTheWatch(t *testing.T) {
+	var f *fixture
+	second := newReplica(t, func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 3) })
+	first := newReplica(t, func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		f.putEngine(second, 2)
+		w.(http.Flusher).Flush()
+		<-req.Context().Done()
+	})
+	f = startEngine(t, first)
+	f.announce(weightsCut / 2)
+	res, body, err := f.post(t, "/resumable/", "Model", engineModel)
+	if err != nil || res.StatusCode != http.StatusOK || body != threeEvents {
+		t.Errorf("%v %q %v", res, body, err)
+	}
+	if first.runs.Load() != 1 || second.runs.Load() != 1 {
+		t.Errorf("%d and %d runs, want 1 of each", first.runs.Load(), second.runs.Load())
+	}
+}
+
+// An answer that began in time must go on when the weights become too old.
+func TestAnswerThatBeganIsNotWithdrawn(t *testing.T) {
+	var f *fixture
+	r := newReplica(t, func(w http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		writeEvents(w, 1, 1)
+		f.announce(0)
+		select {
+		case <-req.Context().Done():
+		case <-time.After(2 * weightsCut):
+			writeEvents(w, 2, 3)
+		}
+	})
+	for _, path := range []string{"/stream/", "/resumable/", "/once/", "/idempotent/"} {
+		f = startEngine(t, r)
+		res, body, err := f.post(t, path, "Model", engineModel)
+		if err != nil || res.StatusCode != http.StatusOK || body != threeEvents {
+			t.Errorf("%s: %v %q %v", path, res, body, err)
+		}
+	}
+}
+
+// A request must not be sent to an engine whose weights are too old by then. As it
+// never runs, it may go to another engine or be refused as not run.
+func TestRequestIsNotSentToReplacedWeights(t *testing.T) {
+	h := func(w http.ResponseWriter, _ *http.Request) { writeEvents(w, 1, 3) }
+	for _, tc := range []struct {
+		name   string
+		newer  bool // there is an engine with version 2
+		status int
+	}{
+		{"another engine", true, http.StatusOK},
+		{"no other engine", false, http.StatusServiceUnavailable},
+	} {
+		old, newer := newReplica(t, h), newReplica(t, h)
+		f := startEngine(t, old)
+		if tc.newer {
+			f.putEngine(newer, 2)
+		}
+		f.announce(2 * weightsCut)
+		res, _, err := f.post(t, "/once/", "Model", engineModel)
+		if err != nil || res.StatusCode != tc.status || old.runs.Load() != 0 {
+			t.Errorf("%s: %v %v, %d runs, want status %d and no run", tc.name, res, err, old.runs.Load(), tc.status)
+		}
+		if line := f.closeLog(t, "attempt_failed"); !strings.Contains(line, "engine-1") || !strings.Contains(line, "too old") {
+			t.Errorf("%s: the engine with version 1 was not picked first: %q", tc.name, line)
+		}
+	}
+}
+
+// The log must show which engine a request was withdrawn from and why. A queue that
+// is longer than expected is no failure of the engine.
+func TestWithdrawnAttemptInLogAndMetrics(t *testing.T) {
+	r := newReplica(t, func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		<-req.Context().Done()
+	})
+	f := startEngine(t, r)
+	f.announce(weightsCut / 2)
+	if _, _, err := f.post(t, "/stream/", "Model", engineModel); err != nil {
+		t.Fatal(err)
+	}
+	line := f.closeLog(t, "attempt_withdrawn")
+	for _, want := range []string{`"event":2014`, `"request":"id-1"`, `"upstream":"engine-1"`, `weights 1, age \d+ms, waited \d+ms, expected \d+ms`} {
+		if len(regexp.MustCompile(want).FindAllString(line, -1)) != 1 {
+			t.Errorf("%q is not in %q once", want, line)
+		}
+	}
+	text := scrape(t, f.metrics)
+	if !strings.Contains(text, `attempts_total{result="cancelled"} 1`) || strings.Contains(text, `result="failed"`) {
+		t.Errorf("metrics:\n%s", text)
+	}
+}
+
+// closeLog closes the log and returns its lines that contain part.
+func (f *fixture) closeLog(t *testing.T, part string) string {
+	t.Helper()
+	if err := f.record.Close(); err != nil {
+		t.Fatal(err)
+	}
+	lines := ""
+	for l := range strings.Lines(f.logs.String()) {
+		if strings.Contains(l, part) {
+			lines += l
+		}
+	}
+	return lines
+}
+
+// scrape returns the metrics in the format that Prometheus reads.
+func scrape(t *testing.T, r *prometheus.Registry) string {
+	t.Helper()
+	w := httptest.NewRecorder()
+	metrics.Handler(r).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", http.NoBody))
+	return w.Body.String()
+}
