Ignore a daemon's own notices when they come back around the tree

Callers would have seen: new weights later than need be. Cause: offsets of the broadcast tree are rounded up, so one path may sum up to the whole ring. The holder of the lease took its own order for that of another holder and held back its next order to that engine for up to 4.4 s. Ruled out: removing the path (other daemons are reached by it at other sizes). Change: Relay drops what this daemon announced. It has sent it at all levels.

--- a/internal/control/exchange/fanout_test.go
+++ b/internal/control/exchange/fanout_test.go
@@ -109,6 +109,9 @@
 		}
 		return true
 	})
+	if members[0].knows(7) {
+		t.Error("the origin applied its own notice as another daemon's")
+	}
 	total := int64(0)
 	for _, m := range members {
 		total += m.calls.Load()
--- a/internal/control/exchange/notices.go
+++ b/internal/control/exchange/notices.go
@@ -213,6 +213,9 @@
 // Relay implements the gRPC service: it applies notices and forwards those that
 // were not forwarded from this level or a lower one before.
 func (e *Exchange) Relay(ctx context.Context, r *exchangepb.RelayRequest) (*exchangepb.RelayReply, error) {
+	if r.GetOrigin() == e.opts.Self {
+		return &exchangepb.RelayReply{}, nil // the last path around the ring ends where it began
+	}
 	forwarded := &exchangepb.RelayRequest{Origin: r.GetOrigin(), Incarnation: r.GetIncarnation()}
 	err := e.opts.Loop.Do(ctx, func(now time.Time) {
 		for _, n := range r.GetNotices() {
