Recheck waiting requests at half the limit on the age of weights

Callers would have seen: a run on weights replaced longer ago than the limit, if the daemon learned of the new version after it had sent the request. Cause: weights that were not known to be behind were checked again only a whole limit later, as if no announcement could be on its way. Found by the review. Change: the check comes after half the limit, so an announcement that is learned up to half a limit late still counts from its own time. TestUntilTooOld expects the earlier check, which is stricter. Measured: TestVersionLearnedLateIsCutInTime failed before (announced at -4.4 s, learned at 0.1 s: the request waited until 13.4 s after the announcement) and passes now; the gateway's tests of the limit 10 of 10 with the race detector.

--- a/internal/gateway/staleweights.go
+++ b/internal/gateway/staleweights.go
@@ -118,12 +118,15 @@
 	return 0, &staleWeightsError{version: w.pick.Version, age: age, waited: now.Sub(w.startedAt), expected: w.pick.Wait}
 }
 
-// untilTooOld returns the least time until weights are older than limit allows; 0
-// or less: they are. Weights that are not behind get there a whole limit after the
-// announcement of a newer version, which is yet to come.
+// recheckShare is the share of the limit after which weights that are not behind
+// are checked again: a newer version may be announced and not known here yet.
+const recheckShare = 0.5
+
+// untilTooOld returns the time until the next check of an engine's weights; 0 or
+// less: they are older than limit allows.
 func untilTooOld(age time.Duration, behind bool, limit time.Duration) time.Duration {
 	if !behind {
-		return limit
+		return time.Duration(recheckShare * float64(limit))
 	}
 	return limit - age
 }
--- a/internal/gateway/untiltooold_test.go
+++ b/internal/gateway/untiltooold_test.go
@@ -15,7 +15,7 @@
 		behind bool
 		want   time.Duration
 	}{
-		{"newest version", 0, false, limit},
+		{"newest version", 0, false, limit / 2},
 		{"just announced", 0, true, limit},
 		{"behind by less than the limit", 7 * time.Second, true, 2 * time.Second},
 		{"just before the limit", limit - 1, true, 1},
@@ -28,3 +28,28 @@
 		}
 	}
 }
+
+// A version that this daemon learns of only some time after its announcement must
+// not let a request wait past the limit, also when it was announced before the
+// request was sent.
+func TestVersionLearnedLateIsCutInTime(t *testing.T) {
+	const (
+		limit = 9 * time.Second
+		step  = 100 * time.Millisecond
+	)
+	for announced := -limit / 2; announced < limit; announced += step {
+		for learned := announced; learned <= announced+limit/2; learned += step {
+			at := time.Duration(0) // since the request was sent
+			for {
+				delay := untilTooOld(at-announced, at >= learned, limit)
+				if delay <= 0 {
+					break
+				}
+				at += delay
+			}
+			if at > announced+limit {
+				t.Fatalf("announced at %v, learned at %v: the request waits until %v, %v after the announcement", announced, learned, at, at-announced)
+			}
+		}
+	}
+}
