Wait longer than a slow relay before a departure is announced again

Change: daemons that are not among the first two wait 350 to 900 ms. The test simulates 300 ms of delivery (one relay that doesn't answer) in place of 40 ms. New: TestDepartureHeardOfIsNotAnnouncedAgain, TestSendUsesTheFallback. Ruled out: longer waits; departures must be known within 2 s at the smaller sites, and daemons read them by themselves within 1.3 s.

--- a/internal/control/broadcast/broadcast_test.go
+++ b/internal/control/broadcast/broadcast_test.go
@@ -1,7 +1,9 @@
 package broadcast
 
 import (
+	"errors"
 	"fmt"
+	"sync"
 	"testing"
 
 	"github.com/leanovate/gopter"
@@ -70,3 +72,26 @@
 		}
 	}
 }
+
+// TestSendUsesTheFallback checks that a hop that fails is replaced by the next VM
+// on the ring, which forwards at the same levels.
+func TestSendUsesTheFallback(t *testing.T) {
+	r := NewRing(ring(48), "vm-000")
+	hops := r.Hops(0)
+	down := hops[1].VM.Name
+	var mu sync.Mutex
+	levels := make(map[string]int)
+	r.Send(0, func(vm fleet.VM, level int) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if vm.Name == down {
+			return errors.New("down")
+		}
+		levels[vm.Name] = level
+		return nil
+	})
+	fallback, ok := r.Fallback(hops[1])
+	if !ok || levels[fallback.Name] != hops[1].Level+1 || len(levels) != len(hops) {
+		t.Errorf("sent to %v, want the fallback %q at level %d", levels, fallback.Name, hops[1].Level+1)
+	}
+}
--- a/internal/control/peers/departures.go
+++ b/internal/control/peers/departures.go
@@ -20,10 +20,11 @@
 	// departureAnnouncers is the number of daemons that announce a departure at once.
 	departureAnnouncers = 2
 	// announceWaitMin and announceWaitMax bound the wait of the others. It is longer
-	// than an announcement takes to arrive, and short against the time in which a
-	// departing upstream must get no more work.
-	announceWaitMin = 150 * time.Millisecond
-	announceWaitMax = 700 * time.Millisecond
+	// than an announcement takes to arrive, also at daemons that are short of
+	// processor time, and short against the time in which a departing upstream must
+	// get no more work.
+	announceWaitMin = 350 * time.Millisecond
+	announceWaitMax = 900 * time.Millisecond
 )
 
 // announceWait returns the bounds of the random time that a daemon waits before
--- a/internal/control/peers/departures_test.go
+++ b/internal/control/peers/departures_test.go
@@ -4,11 +4,16 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"currantpulley/internal/balance"
 	"currantpulley/internal/catalog"
+	"currantpulley/internal/control/exchange"
+	"currantpulley/internal/control/loop"
 	"currantpulley/internal/fleet"
+	"currantpulley/internal/peer"
 )
 
 // simulateDeparture returns the times of the announcements of one departure by a
@@ -38,7 +43,7 @@
 func TestDepartureReadByAllIsAnnouncedByFew(t *testing.T) {
 	const (
 		daemons       = 111
-		delivery      = 40 * time.Millisecond
+		delivery      = 300 * time.Millisecond // with one relay that doesn't answer
 		mostAnnounced = 12
 		latest        = time.Second
 	)
@@ -55,3 +60,57 @@
 		}
 	}
 }
+
+// TestDepartureHeardOfIsNotAnnouncedAgain checks that a daemon announces a departure
+// only if no notice of it came before, and only once.
+func TestDepartureHeardOfIsNotAnnouncedAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		notice exchange.Notice
+		want   bool // announced here
+	}{
+		{"no notice", exchange.Notice{}, true},
+		{"departure", exchange.Notice{Closed: true, TTL: time.Second}, false},
+		{"order", exchange.Notice{Closed: true, TTL: time.Second, Token: 3}, true},
+		{"opened", exchange.Notice{Token: 3}, true},
+	} {
+		p, _ := newPeers(t)
+		var announced atomic.Int64
+		p.exchange = announcingExchange(t, &announced)
+		k := p.opts.Watcher.Load().Upstreams["i-1"].Key()
+		if tc.notice != (exchange.Notice{}) {
+			tc.notice.Upstream = k.ShortID()
+			p.handleNotice(tc.notice)
+		}
+		p.announceDeparture(t.Context(), k)
+		p.announceDeparture(t.Context(), k)
+		time.Sleep(50 * time.Millisecond)
+		if got := announced.Load(); (got > 0) != tc.want || got > 1 {
+			t.Errorf("%s: announced %d times", tc.name, got)
+		}
+	}
+}
+
+// announcingExchange returns an exchange with one other daemon, which counts the
+// notices that reach it.
+func announcingExchange(t *testing.T, count *atomic.Int64) *exchange.Exchange {
+	t.Helper()
+	server, err := peer.Listen("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	view := fleet.View{Self: "a", VMs: []fleet.VM{{Name: "a"}, {Name: "b", PeerAddress: server.Address()}}}
+	newExchange := func(self string, onNotice func(exchange.Notice)) *exchange.Exchange {
+		l, pool := loop.New(), peer.NewPool(nil)
+		t.Cleanup(pool.Close)
+		go l.Run(t.Context())
+		return exchange.New(exchange.Options{
+			Loop: l, Pool: pool, Self: self, View: func() fleet.View { return view }, OnNotice: onNotice,
+			Collect:          func() []exchange.Use { return nil },
+			ComputedPrefixes: func(time.Duration, int) []balance.Held { return nil },
+		})
+	}
+	newExchange("b", func(exchange.Notice) { count.Add(1) }).Register(server.Server)
+	go func() { _ = server.Run(t.Context()) }()
+	return newExchange("a", func(exchange.Notice) {})
+}
