Show the stages of a rollout and the calls between daemons in the metrics

On-call engineers saw: a rollout that was late, and no metric that told why. Cause: the metrics address served neither the stages of orders nor the calls between daemons. Ruled out: a collector for the process, since NewRegistry has it (process_cpu_seconds_total is served). Its collect method reads only through procfs, that is files in /proc. Change: peer_calls_total{call,result}, counted by a client interceptor in control/peers; order_stage_duration_seconds{stage} for report, drain, order and load; upstreams_behind and weights_oldest_behind_seconds, computed at the scrape. report is each read of an engine's state, also by probes and while it loads, so that an engine that doesn't answer is seen in each. Weights of an unknown version don't count as behind, as in the balancer's choice. A plain method name is the label: Relay covers those of both exchange and membership. Tests: the stages in simulated time with engines that drain, load or respond slowly or not at all; the counts behind; the interceptor; and a rollout on the platform with an engine that doesn't answer at first. Conclusion: in tests the stages tell slow drains, slow loads and silent engines apart.

--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -51,12 +51,15 @@
 	// OnBehind makes this daemon restart its pending read of the configuration's
 	// log.
 	OnBehind func()
+	// OnCall is called when a call to another daemon has ended, with the name of its
+	// method without the service; nil: not called. It must not block.
+	OnCall func(call string, err error)
 }
 
 // Start joins the other daemons and runs the protocols until ctx ends. It fails
 // if the peer address can't be listened on.
 func Start(ctx context.Context, o Options) (*Peers, error) {
-	p := &Peers{opts: o, loop: loop.New(), pool: peer.NewPool(nil)}
+	p := &Peers{opts: o, loop: loop.New(), pool: peer.NewPool(nil, dialOptions(o.OnCall)...)}
 	s, r := o.Settings, o.Recorder
 	var err error
 	if p.server, err = peer.Listen(s.PeerListen, nil); err != nil {
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -18,6 +18,8 @@
 	UpstreamsClosed      func() float64 // number of upstreams that get no requests now
 	RequestsAtUpstreams  func() float64 // requests of all daemons at upstreams, as far as this daemon knows
 	TokensWaiting        func() float64 // prompt tokens waiting for prefill in engines, of all daemons
+	UpstreamsBehind      func() float64 // upstreams whose weights are older than the target
+	OldestWeightsBehind  func() float64 // seconds since weights newer than the oldest ones in use were announced; 0: none are
 	LogLinesDropped      func() float64 // lines dropped because the log's reader was too slow
 	LogEventsSuppressed  func() float64 // events not logged because of sampling
 }
@@ -39,6 +41,8 @@
 		{"upstreams_closed", "Upstreams that get no work now: they failed, or load weights.", s.UpstreamsClosed},
 		{"upstream_requests", "Requests of all daemons at upstreams, as far as this daemon knows.", s.RequestsAtUpstreams},
 		{"upstream_waiting_tokens", "Tokens of prompts that wait for their first token in engines, of all daemons.", s.TokensWaiting},
+		{"upstreams_behind", "Upstreams whose weights are older than the target.", s.UpstreamsBehind},
+		{"weights_oldest_behind_seconds", "Time since weights newer than the oldest ones in use were announced; 0 if none are.", s.OldestWeightsBehind},
 	} {
 		f.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: g.name, Help: g.help}, g.value)
 	}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -66,6 +67,8 @@
 		UpstreamsClosed:      d.summary(func(s balance.Summary) int { return s.Closed }),
 		RequestsAtUpstreams:  d.summary(func(s balance.Summary) int { return s.Requests }),
 		TokensWaiting:        d.summary(func(s balance.Summary) int { return s.Tokens }),
+		UpstreamsBehind:      func() float64 { return float64(d.behind().upstreams) },
+		OldestWeightsBehind:  func() float64 { return d.behind().oldest.Seconds() },
 		LogLinesDropped:      func() float64 { return float64(d.Logs.writer.Dropped()) },
 		LogEventsSuppressed:  func() float64 { return float64(d.Logs.sampler.Suppressed()) },
 	}.Register(r)
@@ -104,6 +107,42 @@
 	return func() float64 { return float64(value(d.Balancer.Summary(freshness.Time()))) }
 }
 
+// behind describes the upstreams whose weights are older than the target.
+type behind struct {
+	upstreams int
+	oldest    time.Duration // since the first version newer than the oldest of them was announced
+}
+
+// behind returns the state of the upstreams that are not leaving. Weights of an
+// unknown version don't count.
+func (d Daemon) behind() behind {
+	var b behind
+	snap, now := d.Watcher.Load(), freshness.Time()
+	for _, u := range snap.Upstreams {
+		if u.Leaving {
+			continue
+		}
+		if age, ok := d.weightsBehind(snap, u, now); ok {
+			b.upstreams++
+			b.oldest = max(b.oldest, age)
+		}
+	}
+	return b
+}
+
+// weightsBehind returns the time since a newer version than that of an upstream's
+// weights was announced, of all models the longest, and false if the upstream
+// serves the target version of each.
+func (d Daemon) weightsBehind(snap *catalog.Snapshot, u *catalog.Upstream, now time.Time) (longest time.Duration, older bool) {
+	for model, target := range snap.Weights {
+		version := d.Balancer.Version(u, model, now)
+		if age, ok := target.Behind(version, now); ok && version != 0 {
+			longest, older = max(longest, age), true
+		}
+	}
+	return longest, older
+}
+
 // noProofAge is the reported age, in seconds, while there is no proof yet.
 const noProofAge = -1
 
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -11,6 +11,24 @@
 	"currantpulley/internal/failure"
 )
 
+// Stage is a part of the work for an order to an engine.
+type Stage string
+
+// Stages of orders.
+const (
+	StageReport Stage = "report" // one read of the engine's state, also by a probe or while it loads
+	StageDrain  Stage = "drain"  // the wait until the engine's requests can be resumed elsewhere
+	StageOrder  Stage = "order"  // the call that gives the order
+	StageLoad   Stage = "load"   // the wait until the engine serves the version
+)
+
+// observe reports the duration of a stage that ends now.
+func (r *Runner) observe(s Stage, began time.Time) {
+	if r.opts.OnStage != nil {
+		r.opts.OnStage(s, time.Since(began))
+	}
+}
+
 // order closes the engine to new work, drains it, sends the order and waits
 // until the engine serves the version. It returns the version served, 0 if it
 // is not known.
@@ -35,9 +53,7 @@
 	if token, held := r.opts.Lease.Token(); !held || token != o.Token {
 		return 0, fmt.Errorf("order %s: the lease was lost", u.ID)
 	}
-	bounded, cancel := context.WithTimeout(ctx, callTimeout)
-	err = r.opts.Control.Order(bounded, u, o)
-	cancel()
+	err = r.send(ctx, u, o)
 	r.opts.Recorder.Record(event.Event{
 		ID: event.OrderGiven, Upstream: u.ID, Version: o.Version, Step: "order", Err: err,
 		Detail: fmt.Sprintf("model %s, token %d, revision %d, preempt %t", o.Model, o.Token, o.Revision, o.Preempt),
@@ -48,10 +64,19 @@
 	return r.awaitVersion(ctx, u, o) // an order without a response may have been accepted
 }
 
+// send sends an order to an engine.
+func (r *Runner) send(ctx context.Context, u *catalog.Upstream, o Order) error {
+	defer r.observe(StageOrder, time.Now())
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.opts.Control.Order(bounded, u, o)
+}
+
 // drain waits until all requests in the engine can be resumed at other engines,
 // for at most drainMax. It reports whether the engine may preempt its requests.
 func (r *Runner) drain(ctx context.Context, u *catalog.Upstream) bool {
 	began := time.Now()
+	defer r.observe(StageDrain, began)
 	for {
 		select {
 		case <-ctx.Done():
@@ -71,6 +96,7 @@
 
 // report reads an engine's state. Its error wraps errUnreachable.
 func (r *Runner) report(ctx context.Context, u *catalog.Upstream) (Report, error) {
+	defer r.observe(StageReport, time.Now())
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	report, err := r.opts.Control.Report(bounded, u)
@@ -86,7 +112,9 @@
 // awaitVersion polls the engine until it serves the version of o. It gives up
 // after orderTimeout, or when the engine does not start loading.
 func (r *Runner) awaitVersion(ctx context.Context, u *catalog.Upstream, o Order) (uint64, error) {
-	deadline := time.Now().Add(orderTimeout)
+	began := time.Now()
+	defer r.observe(StageLoad, began)
+	deadline := began.Add(orderTimeout)
 	idle := 0
 	for time.Now().Before(deadline) {
 		select {
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -76,6 +76,9 @@
 	// AnnounceOpened tells all daemons that an engine accepts work again.
 	// version is the weights version that it serves, 0 if it is not known.
 	AnnounceOpened func(k catalog.Key, model string, version, token uint64)
+	// OnStage is called with the duration of each stage of an order, also when the
+	// stage failed; nil: not called. It must be safe for concurrent use.
+	OnStage func(s Stage, took time.Duration)
 }
 
 const (
