Keep calls of two services apart in the metrics of peer calls

Cause: the label had only the method's name, and both membership and the exchange have a method Relay. Change: the label is service and method, as in Exchange/Relay. Measured: TestCallsAreReported passes with the new label.

--- a/internal/control/peers/calls.go
+++ b/internal/control/peers/calls.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"path"
+	"strings"
 
 	"google.golang.org/grpc"
 )
@@ -15,7 +15,7 @@
 	}
 	report := func(ctx context.Context, method string, req, reply any, cc *grpc.ClientConn, invoke grpc.UnaryInvoker, opts ...grpc.CallOption) error {
 		err := invoke(ctx, method, req, reply, cc, opts...)
-		onCall(path.Base(method), err)
+		onCall(method[strings.LastIndexByte(method, '.')+1:], err)
 		return err
 	}
 	return []grpc.DialOption{grpc.WithUnaryInterceptor(report)}
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -52,7 +52,7 @@
 	// log.
 	OnBehind func()
 	// OnCall is called when a call to another daemon has ended, with the name of its
-	// method without the service; nil: not called. It must not block.
+	// service and method; nil: not called. It must not block.
 	OnCall func(call string, err error)
 }
 
