Correct the time of an announcement that was learned late

Callers would have seen: a run on weights replaced longer ago than the limit, started by a daemon that had read of the new version late. Cause: a read that took 60 ms is taken for one that waited, so a daemon short of processor time dates records that were there before by their arrival; other daemons' reports replaced only estimated times, so its age of the weights stayed too young in the check of picks and of waiting requests. Found by the review. Ruled out: the earliest time of all reports. A daemon that was cut off dates a version by its last read, up to many seconds early; if that spread, all daemons would refuse engines at once. It is never too early, so the earliest observed one counts and replaces one that is only the earliest possible. Differences up to 20 ms are ignored. Old daemons don't mark theirs, which then replace estimates only, as before. Existing tests give the same values in the new type.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -140,7 +140,7 @@
 		updated = all[1]
 	}
 	b.RecordVersion(updated.Key(), testModel, 2, testNow)
-	w.SetTarget(testModel, 2, testNow)
+	w.SetTarget(testModel, catalog.Announcement{Version: 2, At: testNow})
 	snap := w.Load()
 	if p := b.Pick(snap, longWork("s"), testNow.Add(2*time.Second)); p.Upstream != updated {
 		t.Errorf("goes to %s, which serves version %d", p.Upstream.ID, p.Version)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -214,8 +214,7 @@
 // announcement is a weights version and the time at which this daemon knows or
 // assumes it was announced.
 type announcement struct {
-	version   uint64
-	at        time.Time
+	Announcement
 	estimated bool // the time is assumed; no daemon that saw the announcement has reported it
 }
 
@@ -225,34 +224,46 @@
 // withNewest returns w with n, the announcement of a newer version, added.
 func (w WeightsTarget) withNewest(n announcement) WeightsTarget {
 	all := append(slices.Clone(w.announcements), n)
-	return WeightsTarget{Version: n.version, announcements: all[max(0, len(all)-maxAnnouncements):]}
+	return WeightsTarget{Version: n.Version, announcements: all[max(0, len(all)-maxAnnouncements):]}
 }
 
-// withTime returns w with the time at which version was announced, and whether
-// that changed anything. The time replaces an estimate or adds an announcement
-// that was missed; a version newer than the target is ignored.
-func (w WeightsTarget) withTime(version uint64, at time.Time) (WeightsTarget, bool) {
-	n := announcement{version: version, at: at}
-	i, known := slices.BinarySearchFunc(w.announcements, version, func(n announcement, v uint64) int { return cmp.Compare(n.version, v) })
+// withTime returns w with the time that another daemon reports for a version, and
+// whether that changed anything. The time replaces a worse one or adds an
+// announcement that was missed; a version newer than the target is ignored.
+func (w WeightsTarget) withTime(a Announcement) (WeightsTarget, bool) {
+	i, known := slices.BinarySearchFunc(w.announcements, a.Version, func(n announcement, v uint64) int { return cmp.Compare(n.Version, v) })
 	switch {
-	case known && w.announcements[i].estimated:
+	case known && w.announcements[i].isWorseThan(a):
 		w.announcements = slices.Clone(w.announcements)
-		w.announcements[i] = n
+		w.announcements[i] = announcement{Announcement: a}
 		return w, true
-	case !known && version < w.Version:
-		w.announcements = slices.Insert(slices.Clone(w.announcements), i, n)
+	case !known && a.Version < w.Version:
+		w.announcements = slices.Insert(slices.Clone(w.announcements), i, announcement{Announcement: a})
 		w.announcements = w.announcements[max(0, len(w.announcements)-maxAnnouncements):]
 		return w, true
 	}
 	return w, false
 }
 
+// minTimeGain is the least difference for which a known time is replaced by an
+// earlier one. Without it the snapshot would change with most reports.
+const minTimeGain = 20 * time.Millisecond
+
+// isWorseThan reports whether the time of a is to be used instead of n's: an
+// observed time is never too early, so the earliest of them is the best.
+func (n announcement) isWorseThan(a Announcement) bool {
+	if n.estimated {
+		return true
+	}
+	return a.Observed && (!n.Observed || n.At.Sub(a.At) > minTimeGain)
+}
+
 // Behind returns how long before now the first known version newer than version
 // was announced, and false when no newer version is known.
 func (w WeightsTarget) Behind(version uint64, now time.Time) (time.Duration, bool) {
 	for _, n := range w.announcements {
-		if n.version > version {
-			return now.Sub(n.at), true
+		if n.Version > version {
+			return now.Sub(n.At), true
 		}
 	}
 	return 0, false
@@ -262,6 +273,9 @@
 type Announcement struct {
 	Version uint64
 	At      time.Time
+	// Observed: a daemon that was waiting for it received it at At, so it was not
+	// announced later. Otherwise it was announced at At at the earliest.
+	Observed bool
 }
 
 // Announcements returns up to most of the newest announcements whose time is not
@@ -270,7 +284,7 @@
 	var out []Announcement
 	for i := len(w.announcements) - 1; i >= 0 && len(out) < most; i-- {
 		if n := w.announcements[i]; !n.estimated {
-			out = append(out, Announcement{n.version, n.at})
+			out = append(out, n.Announcement)
 		}
 	}
 	return out
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -23,7 +23,7 @@
 // also when further versions followed.
 func TestBehindCountsFromTheFirstNewerVersion(t *testing.T) {
 	at := time.Unix(100, 0)
-	w := WeightsTarget{}.withNewest(announcement{version: 2, at: at}).withNewest(announcement{version: 3, at: at.Add(4 * time.Second)})
+	w := WeightsTarget{}.withNewest(announcement{Announcement: Announcement{Version: 2, At: at}}).withNewest(announcement{Announcement: Announcement{Version: 3, At: at.Add(4 * time.Second)}})
 	now := at.Add(10 * time.Second)
 	for _, tc := range []struct {
 		version uint64
@@ -35,7 +35,7 @@
 		}
 	}
 	for v := range uint64(3 * maxAnnouncements) {
-		w = w.withNewest(announcement{version: 10 + v, at: now})
+		w = w.withNewest(announcement{Announcement: Announcement{Version: 10 + v, At: now}})
 	}
 	if len(w.announcements) != maxAnnouncements {
 		t.Errorf("%d announcements are kept", len(w.announcements))
@@ -48,7 +48,7 @@
 		t.Error("an older configuration was taken")
 	}
 	now := time.Now()
-	if !w.SetTarget("m", 3, now) || w.SetTarget("m", 2, now) || w.Load().Weights["m"].Version != 3 {
+	if !w.SetTarget("m", Announcement{Version: 3, At: now}) || w.SetTarget("m", Announcement{Version: 2, At: now}) || w.Load().Weights["m"].Version != 3 {
 		t.Error("an older weights version was taken")
 	}
 }
@@ -84,9 +84,9 @@
 	if n := w.Load().Weights["m"].Announcements(4); len(n) != 0 {
 		t.Errorf("an estimated time is reported to others: %v", n)
 	}
-	w.LearnAnnouncement("m", 3, at.Add(time.Second))
-	w.LearnAnnouncement("m", 2, at.Add(2*time.Second))
-	w.LearnAnnouncement("m", 2, at.Add(3*time.Second))
+	w.LearnAnnouncement("m", Announcement{Version: 3, At: at.Add(time.Second)})
+	w.LearnAnnouncement("m", Announcement{Version: 2, At: at.Add(2 * time.Second)})
+	w.LearnAnnouncement("m", Announcement{Version: 2, At: at.Add(3 * time.Second)})
 	if n := w.Load().Weights["m"].Announcements(4); len(n) != 1 || !n[0].At.Equal(at.Add(2*time.Second)) {
 		t.Errorf("%v", n)
 	}
@@ -99,9 +99,9 @@
 	at := time.Unix(100, 0)
 	w := NewWatcher()
 	w.SetEstimatedTarget("m", 4, at.Add(10*time.Second))
-	w.LearnAnnouncement("m", 3, at)
-	w.LearnAnnouncement("m", 3, at.Add(time.Second))
-	w.LearnAnnouncement("m", 5, at)
+	w.LearnAnnouncement("m", Announcement{Version: 3, At: at})
+	w.LearnAnnouncement("m", Announcement{Version: 3, At: at.Add(time.Second)})
+	w.LearnAnnouncement("m", Announcement{Version: 5, At: at})
 	target := w.Load().Weights["m"]
 	if target.Version != 4 {
 		t.Errorf("another daemon's report changed the target to version %d", target.Version)
@@ -110,3 +110,34 @@
 		t.Errorf("version 2 is behind for %v, %t", age, behind)
 	}
 }
+
+// A daemon that is short of processor time may take a record that was there before
+// for one that it waited for, and learn a version late. The earliest time that any
+// waiting daemon reports must replace its own, and any such time one that is only
+// the earliest possible.
+func TestEarliestObservedTimeOfAnAnnouncementCounts(t *testing.T) {
+	at := time.Unix(100, 0)
+	observed := func(after time.Duration) Announcement {
+		return Announcement{Version: 2, At: at.Add(after), Observed: true}
+	}
+	earliest := func(after time.Duration) Announcement { return Announcement{Version: 2, At: at.Add(after)} }
+	for _, tc := range []struct {
+		name          string
+		own, reported Announcement
+		want          Announcement
+	}{
+		{"learned late", observed(3 * time.Second), observed(0), observed(0)},
+		{"reported late", observed(0), observed(3 * time.Second), observed(0)},
+		{"known since the last read", earliest(0), observed(2 * time.Second), observed(2 * time.Second)},
+		{"reported since the last read", observed(2 * time.Second), earliest(0), observed(2 * time.Second)},
+		{"hardly earlier", observed(minTimeGain), observed(1), observed(minTimeGain)},
+		{"both since the last read", earliest(time.Second), earliest(0), earliest(time.Second)},
+	} {
+		w := NewWatcher()
+		w.SetTarget("m", tc.own)
+		w.LearnAnnouncement("m", tc.reported)
+		if n := w.Load().Weights["m"].Announcements(1); n[0] != tc.want {
+			t.Errorf("%s: %+v, want %+v", tc.name, n[0], tc.want)
+		}
+	}
+}
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -66,17 +66,16 @@
 	return taken
 }
 
-// SetTarget sets the target weights version of a model, announced at the given
-// time, unless it is already at this version or a newer one. It reports whether
-// the target changed.
-func (w *Watcher) SetTarget(model string, version uint64, at time.Time) bool {
-	return w.setTarget(model, announcement{version: version, at: at})
+// SetTarget sets the target weights version of a model, unless it is already at
+// this version or a newer one. It reports whether the target changed.
+func (w *Watcher) SetTarget(model string, a Announcement) bool {
+	return w.setTarget(model, announcement{Announcement: a})
 }
 
 // SetEstimatedTarget is SetTarget for a version whose time of announcement is
 // not known; at is an estimate.
 func (w *Watcher) SetEstimatedTarget(model string, version uint64, at time.Time) bool {
-	return w.setTarget(model, announcement{version: version, at: at, estimated: true})
+	return w.setTarget(model, announcement{Announcement: Announcement{Version: version, At: at}, estimated: true})
 }
 
 // setTarget makes n the newest announcement of a model unless its version is
@@ -84,7 +83,7 @@
 func (w *Watcher) setTarget(model string, n announcement) bool {
 	taken := false
 	w.update(func(s *Snapshot) {
-		if s.Weights[model].Version >= n.version {
+		if s.Weights[model].Version >= n.Version {
 			return
 		}
 		s.setWeights(model, s.Weights[model].withNewest(n))
@@ -94,14 +93,14 @@
 }
 
 // LearnAnnouncement records the time at which a version was announced, as
-// reported by another daemon, if this one did not see the announcement. It never
+// reported by another daemon, if it is better than what is known here. It never
 // changes the target version.
-func (w *Watcher) LearnAnnouncement(model string, version uint64, at time.Time) {
-	if _, changed := w.Load().Weights[model].withTime(version, at); !changed {
+func (w *Watcher) LearnAnnouncement(model string, a Announcement) {
+	if _, changed := w.Load().Weights[model].withTime(a); !changed {
 		return
 	}
 	w.update(func(s *Snapshot) {
-		if target, better := s.Weights[model].withTime(version, at); better {
+		if target, better := s.Weights[model].withTime(a); better {
 			s.setWeights(model, target)
 		}
 	})
--- a/internal/control/exchange/bench_test.go
+++ b/internal/control/exchange/bench_test.go
@@ -29,8 +29,10 @@
 				return uses
 			},
 			ComputedPrefixes: func(_ time.Duration, limit int) []balance.Held { return make([]balance.Held, limit/2) },
-			Announcements:    func() []Announcement { return []Announcement{{"model", 7, time.Second}, {"model", 6, 5 * time.Second}} },
-			Proof:            func() (int64, time.Duration, bool) { return 1000, time.Second, true },
+			Announcements: func() []Announcement {
+				return []Announcement{{"model", 7, time.Second, true}, {"model", 6, 5 * time.Second, true}}
+			},
+			Proof: func() (int64, time.Duration, bool) { return 1000, time.Second, true },
 		})
 		b.Run(fmt.Sprint("vms=", vms), func(b *testing.B) {
 			size := 0
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -44,9 +44,10 @@
 // Announcement is a weights version of a model and the time since it was first
 // announced.
 type Announcement struct {
-	Model   string
-	Weights uint64
-	Age     time.Duration
+	Model    string
+	Weights  uint64
+	Age      time.Duration
+	Observed bool // see catalog.Announcement
 }
 
 // Options configures an Exchange.
@@ -203,7 +204,7 @@
 		s.Held = append(s.Held, &exchangepb.Held{Prefix: h.Prefix, Upstream: h.Holder, Coming: h.Pending})
 	}
 	for _, a := range e.opts.Announcements() {
-		s.Namings = append(s.Namings, &exchangepb.Naming{Model: a.Model, Weights: a.Weights, AgeMs: uint32(a.Age.Milliseconds())})
+		s.Namings = append(s.Namings, &exchangepb.Naming{Model: a.Model, Weights: a.Weights, AgeMs: uint32(a.Age.Milliseconds()), Observed: a.Observed})
 	}
 	if position, age, ok := e.opts.Proof(); ok {
 		s.Proof = &exchangepb.Proof{Position: position, AgeMs: uint32(age.Milliseconds()) + 1}
@@ -235,7 +236,9 @@
 	}
 	e.opts.OnComputedPrefixes(held)
 	for _, a := range s.GetNamings() {
-		e.opts.OnAnnouncement(Announcement{a.GetModel(), a.GetWeights(), time.Duration(a.GetAgeMs()) * time.Millisecond})
+		e.opts.OnAnnouncement(Announcement{
+			Model: a.GetModel(), Weights: a.GetWeights(), Age: time.Duration(a.GetAgeMs()) * time.Millisecond, Observed: a.GetObserved(),
+		})
 	}
 	now := time.Now()
 	for _, n := range s.GetNotices() {
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -155,7 +155,7 @@
 	var out []exchange.Announcement
 	for model, target := range p.opts.Watcher.Load().Weights {
 		for _, a := range target.Announcements(maxAnnouncements) {
-			out = append(out, exchange.Announcement{Model: model, Weights: a.Version, Age: now.Sub(a.At)})
+			out = append(out, exchange.Announcement{Model: model, Weights: a.Version, Age: now.Sub(a.At), Observed: a.Observed})
 		}
 	}
 	return out
@@ -164,7 +164,7 @@
 // onAnnouncement applies a weights version that another daemon knows to be
 // announced.
 func (p *Peers) onAnnouncement(a exchange.Announcement) {
-	p.opts.Watcher.LearnAnnouncement(a.Model, a.Weights, freshness.Time().Add(-a.Age))
+	p.opts.Watcher.LearnAnnouncement(a.Model, catalog.Announcement{Version: a.Weights, At: freshness.Time().Add(-a.Age), Observed: a.Observed})
 }
 
 // proof returns this daemon's own proof.
--- a/internal/gateway/staleweights_test.go
+++ b/internal/gateway/staleweights_test.go
@@ -48,7 +48,7 @@
 
 // announce sets the target weights version to 2, announced the given time ago.
 func (f *fixture) announce(ago time.Duration) {
-	f.watcher.SetTarget(engineModel, 2, freshness.Time().Add(-ago))
+	f.watcher.SetTarget(engineModel, catalog.Announcement{Version: 2, At: freshness.Time().Add(-ago)})
 }
 
 // A request must not begin in an engine on weights that were replaced longer ago
--- a/internal/observe/observe_test.go
+++ b/internal/observe/observe_test.go
@@ -38,7 +38,7 @@
 			now := freshness.Time()
 			d := Daemon{Watcher: catalog.NewWatcher(), Balancer: balance.New(balance.Options{})}
 			for version := uint64(2); version <= 4; version++ {
-				d.Watcher.SetTarget("m", version, now.Add(-time.Duration(5-version)*10*time.Second))
+				d.Watcher.SetTarget("m", catalog.Announcement{Version: version, At: now.Add(-time.Duration(5-version) * 10 * time.Second)})
 			}
 			for _, u := range tc.upstreams {
 				d.Watcher.PutUpstream(u)
@@ -56,9 +56,9 @@
 func TestUpstreamBehindInOneModel(t *testing.T) {
 	now := freshness.Time()
 	d := Daemon{Watcher: catalog.NewWatcher(), Balancer: balance.New(balance.Options{})}
-	d.Watcher.SetTarget("m", 2, now.Add(-time.Hour))
-	d.Watcher.SetTarget("n", 7, now.Add(-10*time.Second))
-	d.Watcher.SetTarget("other", 3, now.Add(-time.Hour))
+	d.Watcher.SetTarget("m", catalog.Announcement{Version: 2, At: now.Add(-time.Hour)})
+	d.Watcher.SetTarget("n", catalog.Announcement{Version: 7, At: now.Add(-10 * time.Second)})
+	d.Watcher.SetTarget("other", catalog.Announcement{Version: 3, At: now.Add(-time.Hour)})
 	d.Watcher.PutUpstream(&catalog.Upstream{ID: "a", Weights: map[string]uint64{"m": 2, "n": 6}})
 	if got := d.behind(); got.upstreams != 1 || got.oldest.Round(5*time.Second) != 10*time.Second {
 		t.Errorf("%d behind for %v", got.upstreams, got.oldest)
