--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -26,7 +26,7 @@
 	g.Attempt("served")
 	g.Tokens(SourceHeld, 1)
 	NewStoreCalls(m.registry).CountCall("read", "ok")
-	NewPeerCalls(m.registry).CountCall("Tell", errors.New("timeout"))
+	NewPeerCalls(m.registry).CountCall("Exchange/Tell", errors.New("timeout"))
 	NewOrderStages(m.registry).Observe("drain", time.Second)
 	one := func() float64 { return 1 }
 	State{one, one, one, one, one, one, one, one, one, one, one, one, one, one}.Register(m.registry)
@@ -51,7 +51,7 @@
 		`currantpulley_gateway_requests_total{outcome="refused",reason="overloaded",route="r"} 1`,
 		`currantpulley_gateway_stage_duration_seconds_count{route="r",stage="first"} 1`,
 		`currantpulley_store_calls_total{call="read",result="ok"} 1`,
-		`currantpulley_peer_calls_total{call="Tell",result="failed"} 1`,
+		`currantpulley_peer_calls_total{call="Exchange/Tell",result="failed"} 1`,
 		`currantpulley_order_stage_duration_seconds_bucket{stage="drain",le="0.5"} 0`,
 		`currantpulley_order_stage_duration_seconds_bucket{stage="drain",le="1"} 1`,
 		`currantpulley_upstreams_behind 1`,
--- a/internal/metrics/peercalls.go
+++ b/internal/metrics/peercalls.go
@@ -18,11 +18,11 @@
 // r.
 func NewPeerCalls(r prometheus.Registerer) *PeerCalls {
 	return &PeerCalls{promauto.With(r).NewCounterVec(prometheus.CounterOpts{
-		Namespace: namespace, Name: "peer_calls_total", Help: "Calls sent to other daemons by method and result."}, []string{"call", "result"})}
+		Namespace: namespace, Name: "peer_calls_total", Help: "Calls sent to other daemons by service and method, and result."}, []string{"call", "result"})}
 }
 
-// CountCall counts a call that ended with err. call is the name of its method
-// without the service.
+// CountCall counts a call that ended with err. call is the name of its service and
+// method.
 func (c *PeerCalls) CountCall(call string, err error) {
 	result := callOK
 	if err != nil {
