--- a/internal/control/exchange/exchange_test.go
+++ b/internal/control/exchange/exchange_test.go
@@ -90,7 +90,7 @@
 	var notices []Notice
 	e := testExchange(&applied, &notices)
 	now := time.Now()
-	e.notices.own[7] = announced{Notice{Upstream: 7, Closed: true, TTL: 3 * time.Second, Token: 2}, now}
+	e.notices.own[7] = announced{Notice: Notice{Upstream: 7, Closed: true, TTL: 3 * time.Second, Token: 2}, at: now}
 	s := e.state(now.Add(noticeRepeatTime / 2))
 	if len(s.GetNotices()) != 1 || s.GetNotices()[0].GetMilliseconds() != 2500 {
 		t.Fatalf("%v", s.GetNotices())
--- a/internal/control/exchange/notices.go
+++ b/internal/control/exchange/notices.go
@@ -40,13 +40,13 @@
 	Model    string
 	Weights  uint64 // version that is served; 0: unknown
 	Token    uint64 // fencing token of the ordering daemon, or the epoch of a store
-	number   uint64 // grows with each notice of the same origin and incarnation
 }
 
 // announced is a notice of this daemon and the time at which it was announced.
 type announced struct {
 	Notice
-	at time.Time
+	number uint64 // grows with each notice of this daemon
+	at     time.Time
 }
 
 // message returns the notice as it is sent at now.
@@ -94,8 +94,7 @@
 // add adds an own notice.
 func (ns *notices) add(n Notice, now time.Time) {
 	ns.last++
-	n.number = ns.last
-	ns.own[n.Upstream] = announced{n, now}
+	ns.own[n.Upstream] = announced{n, ns.last, now}
 }
 
 // batch returns the own notices that were not sent yet.
@@ -240,7 +239,7 @@
 	if apply {
 		e.opts.OnNotice(Notice{
 			Upstream: n.GetUpstream(), Closed: n.GetClosed(), TTL: time.Duration(n.GetMilliseconds()) * time.Millisecond,
-			Model: n.GetModel(), Weights: n.GetWeights(), Token: n.GetToken(), number: n.GetNumber(),
+			Model: n.GetModel(), Weights: n.GetWeights(), Token: n.GetToken(),
 		})
 	}
 	return forward
