Say in the log how an upstream's response ended

The id of the last relayed event moved from a pointer argument into the request. No decision changed. Measured: go test -race ./internal/gateway passes, with a new test of the lines.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -45,7 +45,7 @@
 			return e, io.EOF
 		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return e, fmt.Errorf("%w: %w", upstream.ErrTruncated, err)
+			return e, fmt.Errorf("%w: %d bytes of an event were read: %w", upstream.ErrTruncated, len(r.raw), err)
 		}
 		if len(r.raw) > maxEventBytes {
 			return e, upstream.ErrTooLong
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -95,6 +95,8 @@
 	sends int // attempts that may have reached an upstream
 	runs  int // of these, attempts that may have run
 
+	lastRelayed uint64 // id of the last stream event that the caller has
+
 	// Times since the arrival of the request, except maxPause.
 	firstByte time.Duration // of the first write to the caller
 	lastWrite time.Duration // of the latest write to the caller
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -40,3 +41,22 @@
 		}
 	}
 }
+
+// The line of a served stream must tell how its end was marked and which event
+// came last, so that a short answer can be compared with the engine's.
+func TestServedLineTellsHowTheResponseEnded(t *testing.T) {
+	framed := newReplica(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(streamEvent1)) })
+	for want, r := range map[string]*replica{
+		"framing length, last event 1":     framed,
+		"framing connection, last event 2": resumableReplica(t, len(streamEvent2), ""),
+	} {
+		f := start(t, r)
+		if _, _, err := f.post(t, "/stream/"); err != nil {
+			t.Fatal(err)
+		}
+		_ = f.record.Close()
+		if !strings.Contains(f.logs.String(), want) {
+			t.Errorf("no %q in %s", want, f.logs)
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -95,11 +95,33 @@
 
 // timings describes a served request for the log: the time to the first byte,
 // the longest pause after it, the total time, the number of sends, the expected
-// wait and the weights version.
+// wait, the weights version, the framing of the upstream's response and the id of
+// the last event.
 func (q *request) timings(a *attempt) string {
-	return fmt.Sprintf("route %s, status %d, first %v, pause %v, whole %v, sends %d, expected %v, weights %d",
+	return fmt.Sprintf("route %s, status %d, first %v, pause %v, whole %v, sends %d, expected %v, weights %d, framing %s, last event %d",
 		q.route.Name, a.response.StatusCode, q.firstByte.Round(time.Millisecond), q.maxPause.Round(time.Millisecond),
-		time.Since(q.arrived).Round(time.Millisecond), q.sends, a.pick.Wait.Round(time.Millisecond), a.pick.Version)
+		time.Since(q.arrived).Round(time.Millisecond), q.sends, a.pick.Wait.Round(time.Millisecond), a.pick.Version,
+		framingOf(a.response), q.lastRelayed)
+}
+
+// framing is how the end of a response's body is marked.
+type framing string
+
+const (
+	framingLength     framing = "length"
+	framingChunks     framing = "chunks"
+	framingConnection framing = "connection" // the body ends with the connection
+)
+
+// framingOf returns the framing of res, which was received over HTTP/1.
+func framingOf(res *http.Response) framing {
+	switch {
+	case res.ContentLength >= 0:
+		return framingLength
+	case len(res.TransferEncoding) > 0:
+		return framingChunks
+	}
+	return framingConnection
 }
 
 // recordWrite updates firstByte, lastWrite and maxPause for a write to the caller
@@ -117,9 +139,9 @@
 // relayStream relays the events of a stream as they arrive. A stream that ends
 // early is resumed at another upstream if the route allows it.
 func (g *Gateway) relayStream(q *request, a *attempt) error {
-	last := q.LastEvent
+	q.lastRelayed = q.LastEvent
 	for {
-		err := g.relayEvents(q, a, &last)
+		err := g.relayEvents(q, a)
 		_ = a.response.Body.Close()
 		if err == nil {
 			g.succeed(q, a)
@@ -134,17 +156,17 @@
 		if !q.headSent {
 			return f
 		}
-		if a, err = g.resume(q, f, last); err != nil {
+		if a, err = g.resume(q, f); err != nil {
 			return fmt.Errorf("%w: %w", errTruncatedRelay, err)
 		}
 	}
 }
 
-// resume continues the stream after the event with id last at another upstream.
+// resume continues the stream after its last relayed event at another upstream.
 // f is the failure of the previous attempt.
-func (g *Gateway) resume(q *request, f *failedAttempt, last uint64) (*attempt, error) {
+func (g *Gateway) resume(q *request, f *failedAttempt) (*attempt, error) {
 	for g.mayRetry(q, f) {
-		a, err := g.try(q, Outbound{LastEvent: last, Resume: true})
+		a, err := g.try(q, Outbound{LastEvent: q.lastRelayed, Resume: true})
 		if err == nil && a.response.StatusCode == http.StatusOK {
 			g.opts.Recorder.Record(event.Event{ID: event.StreamResumed, Request: q.ID, Upstream: a.pick.Upstream.ID, Step: "resume"})
 			return a, nil
@@ -162,8 +184,8 @@
 }
 
 // relayEvents relays the events of one upstream's response, skipping those that
-// the caller has. last is the id of the last event sent to the caller.
-func (g *Gateway) relayEvents(q *request, a *attempt, last *uint64) error {
+// the caller has.
+func (g *Gateway) relayEvents(q *request, a *attempt) error {
 	events := newEventReader(a.response.Body)
 	for {
 		e, err := events.next()
@@ -179,7 +201,7 @@
 		if err := a.watch.stop(); err != nil {
 			return err
 		}
-		if e.id != 0 && e.id <= *last {
+		if e.id != 0 && e.id <= q.lastRelayed {
 			continue
 		}
 		if !q.headSent {
@@ -190,6 +212,6 @@
 			return errCallerGone
 		}
 		q.recordWrite()
-		*last = max(*last, e.id)
+		q.lastRelayed = max(q.lastRelayed, e.id)
 	}
 }
--- /dev/null
+++ b/internal/gateway/unframed_test.go
@@ -0,0 +1,90 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// newRawReplica starts an upstream that calls respond for the first request of
+// each connection and then closes the connection.
+func newRawReplica(t *testing.T, respond func(c *net.TCPConn, r *http.Request)) *replica {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveOnce(c, respond)
+		}
+	}()
+	return &replica{Server: &httptest.Server{URL: "http://" + l.Addr().String()}}
+}
+
+// serveOnce calls respond for the first request of c and closes c.
+func serveOnce(c net.Conn, respond func(c *net.TCPConn, r *http.Request)) {
+	defer func() { _ = c.Close() }()
+	req, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		respond(tcp, req)
+	}
+}
+
+// writeUnframed writes a response that has neither a length nor chunks and ends
+// with its connection.
+func writeUnframed(c *net.TCPConn, r *http.Request, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nConnection: close\r\n\r\n%s", r.Header.Get("Id"), body)
+}
+
+const (
+	streamEvent1 = "id: 1\ndata: one\n\n"
+	streamEvent2 = "id: 2\ndata: two\n\n"
+)
+
+// resumableReplica streams both events without framing. The first response ends
+// cut bytes into the second event; a resumption is answered with resumed.
+func resumableReplica(t *testing.T, cut int, resumed string) *replica {
+	t.Helper()
+	return newRawReplica(t, func(c *net.TCPConn, r *http.Request) {
+		if r.Header.Get("After") == "1" {
+			writeUnframed(c, r, resumed)
+			return
+		}
+		writeUnframed(c, r, streamEvent1+streamEvent2[:cut])
+	})
+}
+
+func TestUnframedStreamIsRelayedToItsEnd(t *testing.T) {
+	r := resumableReplica(t, len(streamEvent2), "")
+	res, body, err := start(t, r).post(t, "/stream/")
+	if err != nil || res.StatusCode != http.StatusOK || body != streamEvent1+streamEvent2 {
+		t.Fatalf("%v %q %v", res, body, err)
+	}
+}
+
+// A reset shows that a response without a length is incomplete, even between two
+// events.
+func TestUnframedResponseThatIsResetIsNotComplete(t *testing.T) {
+	r := newRawReplica(t, func(c *net.TCPConn, r *http.Request) {
+		writeUnframed(c, r, streamEvent1)
+		_ = c.SetLinger(0)
+	})
+	for _, path := range []string{"/stream/", "/resumable/", "/once/", "/idempotent/"} {
+		res, body, err := start(t, r).post(t, path)
+		if err == nil && res.StatusCode < http.StatusInternalServerError {
+			t.Errorf("%s: %s, complete body %q", path, res.Status, body)
+		}
+	}
+}
