Add failing tests of streams without a length that are cut

What callers saw: a stream whose replica broke off was framed as complete. Evidence: an upstream over a plain socket answers without a length or chunks and closes its connection after 1 to 16 bytes of an event of 17: the caller gets a complete response each time, and a resumable stream is not resumed. A resumption that ends before its first event is taken for the end as well. Measured: the three fail, the rest of internal/gateway passes.

--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -74,6 +74,40 @@
 	}
 }
 
+// Guards against a stream that ended inside an event, without a length, being
+// relayed as complete.
+func TestUnframedStreamCutInsideAnEventIsNotComplete(t *testing.T) {
+	for cut := 1; cut < len(streamEvent2); cut++ {
+		res, body, err := start(t, resumableReplica(t, cut, "")).post(t, "/stream/")
+		if err == nil {
+			t.Errorf("cut at byte %d of the event: %s, complete body %q", cut, res.Status, body)
+		}
+	}
+}
+
+// Guards against a resumable stream that ended inside an event, without a length,
+// not being resumed.
+func TestUnframedStreamCutInsideAnEventIsResumed(t *testing.T) {
+	for cut := 1; cut < len(streamEvent2); cut++ {
+		a, b := resumableReplica(t, cut, streamEvent2), resumableReplica(t, cut, streamEvent2)
+		_, body, err := start(t, a, b).post(t, "/resumable/")
+		if err != nil || body != streamEvent1+streamEvent2 {
+			t.Errorf("cut at byte %d of the event: body %q, %v", cut, body, err)
+		}
+	}
+}
+
+// Guards against a resumption that ended before its first event, without a
+// length, being relayed as the end of the stream.
+func TestUnframedResumptionWithoutEventsIsNotComplete(t *testing.T) {
+	const cut = 5
+	a, b := resumableReplica(t, cut, ""), resumableReplica(t, cut, "")
+	res, body, err := start(t, a, b).post(t, "/resumable/")
+	if err == nil {
+		t.Errorf("%s, complete body %q", res.Status, body)
+	}
+}
+
 // A reset shows that a response without a length is incomplete, even between two
 // events.
 func TestUnframedResponseThatIsResetIsNotComplete(t *testing.T) {
