Don't take an end inside an event for the end of a stream

What callers saw: a stream whose replica broke off was framed as complete. Cause: the reader of events returned "truncated: EOF", wrapping io.EOF, for a stream that ended inside an event, and the relay asked with errors.Is(err, io.EOF) whether the stream had ended. With a length or chunks net/http reports io.ErrUnexpectedEOF, which does not match; without either it reports io.EOF for every end. Class: a sentinel that means success is wrapped into a failure. Ruled out: the abort of the caller's response (nothing was aborted), the place of the cut (all 16 failed), a lost reset (TestUnframedResponseThatIsResetIsNotComplete passes before and after). Elsewhere: the only other comparison with io.EOF (filter/dispatch over upstream.Events) gets its errors from bufio.Scanner, which never returns io.EOF; responses that are no streams are read with io.ReadAll. Change: the reader replaces io.EOF by io.ErrUnexpectedEOF inside an event, so io.EOF only ever means an end between two events. Measured: TestUnframedStreamCutInsideAnEventIsNotComplete and ...IsResumed failed at 16 of 16 places and pass; TestEndOfStreamIsOnlyBetweenEvents (every cut, four ways of arrival) gave 12,447 errors before and passes. Conclusion: this is the cause of the users' report.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -45,7 +45,7 @@
 			return e, io.EOF
 		}
 		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
-			return e, fmt.Errorf("%w: %d bytes of an event were read: %w", upstream.ErrTruncated, len(r.raw), err)
+			return e, r.truncated(err)
 		}
 		if len(r.raw) > maxEventBytes {
 			return e, upstream.ErrTooLong
@@ -65,3 +65,12 @@
 		}
 	}
 }
+
+// truncated returns the error for a stream that ended with cause before the event
+// being read was complete. It never matches io.EOF, which means a complete stream.
+func (r *eventReader) truncated(cause error) error {
+	if errors.Is(cause, io.EOF) {
+		cause = io.ErrUnexpectedEOF
+	}
+	return fmt.Errorf("%w: %d bytes of an event were read: %w", upstream.ErrTruncated, len(r.raw), cause)
+}
