Don't take a resumption without framing or events for the end of a stream

What callers would see: a stream that broke off, whose resumption broke off before its first event, framed as complete. Cause: once the head was sent, the end of the connection ended the stream, also when the resumption had brought nothing and had neither a length nor chunks. Change: a response without events is the end of a stream only in a resumption whose length or chunks say that it is complete. The other side is tested too: with a length it ends the stream (passes before and after).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -187,12 +187,12 @@
 // the caller has.
 func (g *Gateway) relayEvents(q *request, a *attempt) error {
 	events := newEventReader(a.response.Body)
-	for {
+	for first := true; ; first = false {
 		e, err := events.next()
+		if errors.Is(err, io.EOF) && first {
+			return q.checkEmptyStream(a)
+		}
 		if errors.Is(err, io.EOF) {
-			if !q.headSent {
-				return fmt.Errorf("%w: the stream has no events", upstream.ErrTruncated)
-			}
 			return nil
 		}
 		if err != nil {
@@ -215,3 +215,13 @@
 		q.lastRelayed = max(q.lastRelayed, e.id)
 	}
 }
+
+// checkEmptyStream returns an error unless a's response without events may be the
+// end of the stream. It may be in a resumption, if its framing marks it as
+// complete.
+func (q *request) checkEmptyStream(a *attempt) error {
+	if q.headSent && framingOf(a.response) != framingConnection {
+		return nil
+	}
+	return fmt.Errorf("%w: the stream has no events", upstream.ErrTruncated)
+}
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -122,3 +122,19 @@
 		}
 	}
 }
+
+// A stream that broke off after its last event ends with a resumption that has no
+// events and whose length says that it is complete.
+func TestResumptionWithoutEventsAndALengthIsTheEnd(t *testing.T) {
+	respond := func(c *net.TCPConn, r *http.Request) {
+		if r.Header.Get("After") == "2" {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+			return
+		}
+		writeUnframed(c, r, streamEvent1+streamEvent2+"id: 3\n")
+	}
+	_, body, err := start(t, newRawReplica(t, respond), newRawReplica(t, respond)).post(t, "/resumable/")
+	if err != nil || body != streamEvent1+streamEvent2 {
+		t.Errorf("body %q, %v", body, err)
+	}
+}
