Show software versions and streams that callers take up in the log

No decision changed. The text of 2007 said "an explicit error event", which the gateway doesn't send. Measured: go test of event, gateway and platform passes.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -175,6 +175,7 @@
 	Service    string
 	Address    string
 	DataCentre string
+	Software   string            // version of the software that it runs, not of its weights; versions have no order
 	Slots      int               // requests that it runs at once
 	Leaving    bool              // is shutting down and gets no new work
 	Weights    map[string]uint64 // version served, by model
--- a/internal/event/provider.go
+++ b/internal/event/provider.go
@@ -23,7 +23,7 @@
 	{ProviderRecordBad, "provider_record_bad", Warn, "A provider's record can't be read and is skipped; detail has its topic and offset."},
 	{ProviderConfigApplied, "provider_config_taken", Info, "A provider's configuration came into force at this daemon."},
 	{ProviderWeightsAnnounced, "provider_weights_named", Info, "Operators selected a weights version; detail has the model."},
-	{ProviderUpstream, "provider_upstream", Info, "A provider added, changed or removed an upstream; detail has its state and address."},
+	{ProviderUpstream, "provider_upstream", Info, "A provider added, changed or removed an upstream; detail has its state, address and software version."},
 	{OrderGiven, "order_given", Info, "An engine was ordered to load a weights version; detail has the model, the fencing token and the expected revision."},
 	{OrderUnfinished, "order_unfinished", Warn, "An engine was not seen to complete an order; the order is sent again."},
 	{OrdersHeld, "orders_held", Info, "This daemon acquired the lease for orders to engines; detail has its fencing token."},
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -12,6 +12,7 @@
 	AttemptHedged     ID = 2012
 	ConnectionRefused ID = 2013
 	AttemptWithdrawn  ID = 2014
+	StreamTakenUp     ID = 2015
 )
 
 var requestEvents = []Definition{
@@ -21,8 +22,9 @@
 	{AttemptFailed, "attempt_failed", Warn, "An attempt at an upstream failed."},
 	{AttemptRetried, "attempt_retried", Info, "A request is retried at another upstream."},
 	{StreamResumed, "stream_resumed", Info, "An interrupted stream was resumed at its next event."},
-	{StreamBroken, "stream_broken", Warn, "A stream ended with an explicit error event."},
+	{StreamBroken, "stream_broken", Warn, "A stream ended early; its caller got an error event or a closed connection."},
 	{AttemptHedged, "attempt_hedged", Info, "A second (hedged) attempt was started beside a slow first one."},
 	{ConnectionRefused, "connection_refused", Warn, "A caller's connection was refused because too many are open."},
 	{AttemptWithdrawn, "attempt_withdrawn", Warn, "A request that waited in an engine was cancelled there, because the engine's weights were replaced too long ago."},
+	{StreamTakenUp, "stream_taken_up", Info, "A caller's later attempt goes on with a stream; detail has the attempt that began it, the caller's last event and the software versions."},
 }
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -20,6 +20,7 @@
 	Prompt       *balance.Prompt // nil: not given
 	LastEvent    uint64          // id of the last stream event that the caller received
 	HasLastEvent bool            // LastEvent is set
+	FirstAttempt string          // id of the caller's attempt that brought the first event of the stream; empty: not given
 }
 
 // Outbound holds what the headers of a request to an upstream say in addition
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -96,6 +96,7 @@
 	runs  int // of these, attempts that may have run
 
 	lastRelayed uint64 // id of the last stream event that the caller has
+	software    string // version of the upstream that sent the first event of this response
 
 	// Times since the arrival of the request, except maxPause.
 	firstByte time.Duration // of the first write to the caller
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -168,7 +168,10 @@
 	for g.mayRetry(q, f) {
 		a, err := g.try(q, Outbound{LastEvent: q.lastRelayed, Resume: true})
 		if err == nil && a.response.StatusCode == http.StatusOK {
-			g.opts.Recorder.Record(event.Event{ID: event.StreamResumed, Request: q.ID, Upstream: a.pick.Upstream.ID, Step: "resume"})
+			g.opts.Recorder.Record(event.Event{
+				ID: event.StreamResumed, Request: q.ID, Upstream: a.pick.Upstream.ID, Step: "resume",
+				Detail: fmt.Sprintf("after event %d, software %s, began at %s", q.lastRelayed, a.pick.Upstream.Software, q.software),
+			})
 			return a, nil
 		}
 		if err == nil {
@@ -205,7 +208,7 @@
 			continue
 		}
 		if !q.headSent {
-			g.opts.Balancer.Began(a.pick, freshness.Time())
+			g.streamBegan(q, a)
 			g.writeHead(q, a, false, 0)
 		}
 		if _, err := q.w.Write(e.raw); err != nil {
@@ -216,6 +219,19 @@
 	}
 }
 
+// streamBegan records that a's first event is about to be relayed.
+func (g *Gateway) streamBegan(q *request, a *attempt) {
+	g.opts.Balancer.Began(a.pick, freshness.Time())
+	q.software = a.pick.Upstream.Software
+	if q.LastEvent == 0 {
+		return
+	}
+	g.opts.Recorder.Record(event.Event{
+		ID: event.StreamTakenUp, Request: q.ID, Upstream: a.pick.Upstream.ID, Step: "relay",
+		Detail: fmt.Sprintf("began as %q, after event %d, software %s", q.FirstAttempt, q.LastEvent, q.software),
+	})
+}
+
 // checkEmptyStream returns an error unless a's response without events may be the
 // end of the stream. It may be in a resumption, if its framing marks it as
 // complete.
