Resume a broken stream only at the software version that began it

What callers saw: events of two software versions in one stream. Cause: the choice of an upstream for a resumption inside a response did not know software versions; the adapter dropped them. It even preferred another version: the replica that failed is avoided. Class: interchangeable by assumption, all upstreams of a service were taken for equal. Change: catalog.Build names the service and software version of an upstream. The first relayed event binds the request to the build of its upstream; the balancer gives bound work only to that build.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	go vet ./...
 	$< run ./...
 
-KNOWN_RED_VERSIONS := TestTakenUpStreamsKeepTheirSoftwareVersion|TestTakenUpStreamOfUnknownVersion|TestBrokenStreamIsResumedOnlyAtItsSoftwareVersion
+KNOWN_RED_VERSIONS := TestTakenUpStreamsKeepTheirSoftwareVersion|TestTakenUpStreamOfUnknownVersion
 
 # Skips TestRandomIsClearlyWorse and KNOWN_RED_VERSIONS, which are listed in KNOWN-RED.txt. TestLineAllocations
 # runs without the race detector, which makes sync.Pool drop objects at random.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -138,7 +138,7 @@
 	all := snap.UpstreamsOf(w.Service)
 	aff := b.affinity(snap, all, w, now)
 	for _, u := range all {
-		if u.Leaving || w.wasTried(u.Key()) {
+		if w.excludes(u) || w.wasTried(u.Key()) {
 			continue
 		}
 		c, score := b.scoreUpstream(snap, w, u, aff, now)
@@ -177,7 +177,7 @@
 	var most uint64
 	for _, u := range all {
 		s := b.stateOf(u.Key(), now)
-		if u.Leaving || s.unavailableFor(now) > 0 || a.short[u.ID] == w.Prompt.long() {
+		if w.excludes(u) || s.unavailableFor(now) > 0 || a.short[u.ID] == w.Prompt.long() {
 			continue
 		}
 		if weight := rendezvous.Weight(rendezvous.Hash(u.ID), key); a.owner == nil || weight > most {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -236,3 +237,32 @@
 		})
 	}
 }
+
+// Work of one build must go only to its upstreams, even if these are busy, and
+// must not change which engines are reserved for short work.
+func TestPickKeepsToTheBuild(t *testing.T) {
+	b, w := newTest(6)
+	for i, software := range []string{"v1", "v2", "v1", "v2", "v2", "v2"} {
+		u := *w.Load().Upstreams[fmt.Sprintf("e%02d", i)]
+		u.Software = software
+		w.PutUpstream(&u)
+	}
+	snap := w.Load()
+	all := snap.UpstreamsOf(testService)
+	lane := b.ShortLane(testService, all)
+	work := longWork("s")
+	work.Build = catalog.BuildOf(testService, "v1")
+	for range 50 {
+		p := b.Pick(snap, work, testNow)
+		if p == nil || p.Upstream.Software != "v1" {
+			t.Fatalf("picked %+v", p)
+		}
+	}
+	if got := b.ShortLane(testService, all); !maps.Equal(got, lane) || len(lane) == 0 {
+		t.Errorf("lane %v, before %v", got, lane)
+	}
+	work.Build = catalog.BuildOf(testService, "v3")
+	if p := b.Pick(snap, work, testNow); p != nil {
+		t.Errorf("picked %s for a build without upstreams", p.Upstream.ID)
+	}
+}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -55,6 +55,12 @@
 	Group     string  // of workspaces that may share cache entries
 	Resumable bool    // may continue at another upstream after it began
 	Tried     []catalog.Key
+	Build     catalog.Build // of the upstreams that may run it; 0: any
+}
+
+// excludes reports whether u may not run w: it is leaving or runs another build.
+func (w *Work) excludes(u *catalog.Upstream) bool {
+	return u.Leaving || (w.Build != 0 && u.Build() != w.Build)
 }
 
 func (w *Work) wasTried(k catalog.Key) bool {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -180,6 +180,7 @@
 	Leaving    bool              // is shutting down and gets no new work
 	Weights    map[string]uint64 // version served, by model
 	shortID    uint32            // cached Key().ShortID(), set by PutUpstream
+	build      Build             // cached, set by PutUpstream
 }
 
 // Key identifies one run of an upstream by its id and start time.
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -119,7 +119,7 @@
 // PutUpstream adds or replaces an upstream. The caller must not change u
 // afterwards.
 func (w *Watcher) PutUpstream(u *Upstream) {
-	u.shortID = u.Key().ShortID()
+	u.shortID, u.build = u.Key().ShortID(), BuildOf(u.Service, u.Software)
 	w.update(func(s *Snapshot) {
 		s.Upstreams = maps.Clone(s.Upstreams)
 		if s.Upstreams == nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -116,7 +116,7 @@
 func (g *Gateway) try(q *request, o Outbound) (*attempt, error) {
 	q.snap = g.opts.Watcher.Load()
 	now := freshness.Time()
-	work := &balance.Work{Service: q.service.Name, Group: q.cacheGroup(), Resumable: q.resumable(), Tried: q.tried}
+	work := &balance.Work{Service: q.service.Name, Group: q.cacheGroup(), Resumable: q.resumable(), Tried: q.tried, Build: q.build}
 	if q.service.Engine != nil {
 		work.Prompt = q.Prompt
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,6 +98,8 @@
 	lastRelayed uint64 // id of the last stream event that the caller has
 	software    string // version of the upstream that sent the first event of this response
 
+	build catalog.Build // that began the stream and must go on with it; 0: none did yet
+
 	// Times since the arrival of the request, except maxPause.
 	firstByte time.Duration // of the first write to the caller
 	lastWrite time.Duration // of the latest write to the caller
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -222,7 +222,7 @@
 // streamBegan records that a's first event is about to be relayed.
 func (g *Gateway) streamBegan(q *request, a *attempt) {
 	g.opts.Balancer.Began(a.pick, freshness.Time())
-	q.software = a.pick.Upstream.Software
+	q.software, q.build = a.pick.Upstream.Software, a.pick.Upstream.Build()
 	if q.LastEvent == 0 {
 		return
 	}
