Tell a daemon that has just started that one version ran

Cause: without a record, a stream goes on if one build ran for as long as a stream lasts. Change: the daemons that are asked for a record also say which build was the only one, if they are sure. The rule moved from the gateway into the package origins, which has both sides of it.

--- a/internal/catalog/build.go
+++ b/internal/catalog/build.go
@@ -45,23 +45,20 @@
 	}
 }
 
-// BuildsOf returns the builds that upstreams of a service ran within the last
-// window, and false if the service is known for less than that.
-func (w *Watcher) BuildsOf(service string, window time.Duration) (map[Build]bool, bool) {
+// BuildsOf returns the builds that known upstreams of a service ran within the last
+// window, and whether upstreams are known for that long, so that none is missing.
+func (w *Watcher) BuildsOf(service string, window time.Duration) (builds map[Build]bool, all bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	h, ok := w.builds[service]
-	if !ok || w.now().Sub(h.since) < window {
-		return nil, false
-	}
-	builds := make(map[Build]bool)
+	builds = make(map[Build]bool)
 	for _, u := range w.current.Load().UpstreamsOf(service) {
 		builds[u.Build()] = true
 	}
+	h, known := w.builds[service]
 	for b, at := range h.lastAt {
 		if w.now().Sub(at) <= window {
 			builds[b] = true
 		}
 	}
-	return builds, true
+	return builds, known && w.now().Sub(h.since) >= window
 }
--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -5,13 +5,16 @@
 // The daemon that begins a stream records its build at a few owners, which
 // rendezvous hashing of the attempt's id assigns alike at every daemon. A daemon
 // that gets a later attempt asks the owners. A record is sent a short time after
-// the stream began; a stream whose daemon stops before is not known anywhere.
+// the stream began; a stream whose daemon stops before is not recorded anywhere.
+// The owners also say whether all upstreams ran one build lately, since a daemon
+// that has just started does not know that itself.
 package origins
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"time"
@@ -23,6 +26,7 @@
 	"currantpulley/internal/event"
 	"currantpulley/internal/failure"
 	"currantpulley/internal/fleet"
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/peer"
 	"currantpulley/internal/rendezvous"
 )
@@ -47,13 +51,16 @@
 	Self     string            // name of this VM
 	View     func() fleet.View // safe for concurrent use
 	Recorder event.Recorder
+	Watcher  *catalog.Watcher // of the upstreams
+	Proof    *freshness.Proof // of the time at which the upstreams were the newest
 }
 
 // Origins keeps the builds of streams. It is safe for concurrent use.
 type Origins struct {
 	originspb.UnimplementedOriginsServer
-	opts  Options
-	known table
+	opts    Options
+	known   table
+	history history
 
 	mu      sync.Mutex
 	pending []record // not sent yet
@@ -66,7 +73,9 @@
 }
 
 // New returns Origins that know no stream.
-func New(o Options) *Origins { return &Origins{opts: o} }
+func New(o Options) *Origins {
+	return &Origins{opts: o, history: history{watcher: o.Watcher, proof: o.Proof}}
+}
 
 // Register registers the gRPC service with server.
 func (o *Origins) Register(server *grpc.Server) { originspb.RegisterOriginsServer(server, o) }
@@ -144,14 +153,45 @@
 	}
 }
 
-// FindBuild returns the build that began the stream of a caller's attempt, or 0 if
-// none of the daemons that may know it does. Its error tells that some of these
-// did not answer and none of the others knows the build.
-func (o *Origins) FindBuild(ctx context.Context, attempt string) (catalog.Build, error) {
-	stream := rendezvous.Hash(attempt)
-	if b := o.known.get(stream); b != 0 {
+// FindBuild returns the build that began the stream of a caller's attempt within
+// the last window, at one of the services. It is the recorded one or, if none of
+// the daemons that may have a record has one, the only one that the services'
+// upstreams ran in that time. An empty attempt is one that the caller didn't name.
+// The error tells why the build is not known.
+func (o *Origins) FindBuild(ctx context.Context, attempt string, services []string, window time.Duration) (catalog.Build, error) {
+	own := o.history.builds(services, window)
+	if attempt == "" && own.sure() != 0 {
+		return own.only, nil
+	}
+	request := &originspb.FindRequest{Services: services, WindowMs: uint32(window.Milliseconds())}
+	asked := rand.Uint64() // no daemon has a record: any may know that there was one build
+	if attempt != "" {
+		request.Stream = rendezvous.Hash(attempt)
+		asked = request.GetStream()
+	}
+	if b := o.known.get(request.GetStream()); b != 0 {
 		return b, nil
 	}
+	found, err := o.askOwners(ctx, asked, request)
+	switch {
+	case found.build != 0:
+		return found.build, nil
+	case own.several:
+		return 0, own.err
+	case err != nil && attempt != "":
+		return 0, err
+	case own.sure() != 0:
+		return own.only, nil
+	case found.only != 0 && (own.only == 0 || own.only == found.only):
+		return found.only, nil
+	}
+	return 0, errors.Join(own.err, err, errors.New("no other daemon knows the upstreams for long enough"))
+}
+
+// askOwners sends r to the owners of a stream. It returns the first build
+// that one of them has recorded. Otherwise it returns, in only, the build that they
+// agree to be the only one, and an error if some did not answer.
+func (o *Origins) askOwners(ctx context.Context, stream uint64, r *originspb.FindRequest) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	answers := make(chan answer, ownersAsked)
@@ -161,36 +201,44 @@
 			continue
 		}
 		asked++
-		go func() { answers <- o.ask(ctx, vm, stream) }()
+		go func() { answers <- o.ask(ctx, vm, r) }()
 	}
+	var result answer
 	var failures []error
+	agree := true
 	for range asked {
 		a := <-answers
 		if a.build != 0 {
-			return a.build, nil
+			return a, nil
 		}
+		agree = agree && (a.only == 0 || result.only == 0 || a.only == result.only)
+		result.only = max(result.only, a.only)
 		failures = append(failures, a.err)
 	}
-	return 0, errors.Join(failures...)
+	if !agree {
+		result.only = 0
+	}
+	return result, errors.Join(failures...)
 }
 
 // answer is the answer of one owner.
 type answer struct {
-	build catalog.Build // 0: not known there
+	build catalog.Build // recorded; 0: none
+	only  catalog.Build // the only one that upstreams ran; 0: there are several or not all are known
 	err   error
 }
 
 // ask asks one owner for the build of a stream.
-func (o *Origins) ask(ctx context.Context, vm fleet.VM, stream uint64) answer {
+func (o *Origins) ask(ctx context.Context, vm fleet.VM, r *originspb.FindRequest) answer {
 	conn, err := o.opts.Pool.Conn(vm.PeerAddress)
 	if err != nil {
 		return answer{err: err}
 	}
-	reply, err := originspb.NewOriginsClient(conn).Find(ctx, &originspb.FindRequest{Stream: stream})
+	reply, err := originspb.NewOriginsClient(conn).Find(ctx, r)
 	if err != nil {
 		return answer{err: failure.At("find origin", vm.Name, err)}
 	}
-	return answer{build: catalog.Build(reply.GetBuild())}
+	return answer{build: catalog.Build(reply.GetBuild()), only: catalog.Build(reply.GetOnlyBuild())}
 }
 
 // Record implements the gRPC service.
@@ -205,5 +253,6 @@
 
 // Find implements the gRPC service.
 func (o *Origins) Find(_ context.Context, r *originspb.FindRequest) (*originspb.FindReply, error) {
-	return &originspb.FindReply{Build: uint32(o.known.get(r.GetStream()))}, nil
+	known := o.history.builds(r.GetServices(), time.Duration(r.GetWindowMs())*time.Millisecond)
+	return &originspb.FindReply{Build: uint32(o.known.get(r.GetStream())), OnlyBuild: uint32(known.sure())}, nil
 }
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -47,7 +47,9 @@
 	Watcher  *catalog.Watcher
 	Balancer *balance.Balancer
 	Proof    *freshness.Proof // of the time at which the configuration was the newest
-	Recorder event.Recorder
+	// RegistryProof is that of the upstreams.
+	RegistryProof *freshness.Proof
+	Recorder      event.Recorder
 	// Departures delivers the upstreams that this daemon has read to be leaving.
 	Departures <-chan catalog.Key
 	// OnBehind makes this daemon restart its pending read of the configuration's
@@ -78,7 +80,9 @@
 		Announcements: p.announcements, OnAnnouncement: p.onAnnouncement, OnNotice: p.handleNotice,
 		Proof: p.proof, OnProof: p.onProof,
 	})
-	p.origins = origins.New(origins.Options{Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r})
+	p.origins = origins.New(origins.Options{
+		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof,
+	})
 	p.membership.Register(p.server.Server)
 	p.exchange.Register(p.server.Server)
 	p.origins.Register(p.server.Server)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,10 +35,7 @@
 	Metrics     *metrics.Gateway // nil: metrics are discarded
 	Proof       *freshness.Proof // when the configuration was last proved to be the newest
 	MaxProofAge time.Duration    // maximum age of Proof at which keys are accepted
-	// RegistryProof tells when the upstreams were last proved to be the newest; nil:
-	// they always are.
-	RegistryProof *freshness.Proof
-	Origins       Origins // nil: streams are taken up only while all upstreams run one build
+	Origins     Origins          // nil: streams are taken up at any build
 	// StaleWeightsCut is the time after the announcement of a newer weights version
 	// from which a request that still waits in an engine with older weights is taken
 	// back; 0: never.
