Don't end a response as complete when nothing was relayed

Cause: asked whether the ended response had brought any event instead of whether the head was sent. An upstream that answers a caller's later attempt only with events that the caller has would have ended the response without a head, which the server completes as an empty 200. Change: the end counts as that of an empty stream in this case too.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -192,7 +192,7 @@
 	events := newEventReader(a.response.Body)
 	for first := true; ; first = false {
 		e, err := events.next()
-		if errors.Is(err, io.EOF) && first {
+		if errors.Is(err, io.EOF) && (first || !q.headSent) {
 			return q.checkEmptyStream(a)
 		}
 		if errors.Is(err, io.EOF) {
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -138,3 +138,13 @@
 		t.Errorf("body %q, %v", body, err)
 	}
 }
+
+// An upstream that only repeats events that the caller has must not end the
+// response as complete before anything was relayed.
+func TestResponseWithOnlyRepeatedEventsIsNotComplete(t *testing.T) {
+	r := newReplica(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(streamEvent1)) })
+	res, body, err := start(t, r).post(t, "/stream/", "Last", "1")
+	if err != nil || res.StatusCode != http.StatusBadGateway {
+		t.Errorf("%v %q %v", res, body, err)
+	}
+}
