Refuse a stream whose version daemons know differently

Not only the test's timing: if two daemons are sure of different versions, one of them is wrong, and the stream may have begun at either. Change: different words are a reason to refuse, also among the others. The window of the test is 500 ms, longer than an unanswered question (200 ms); a case is added in which another daemon is sure of a different version.

--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -106,17 +106,32 @@
 
 // sendPending sends the records that were not sent yet, in one call for each owner.
 func (o *Origins) sendPending(ctx context.Context) {
+	for vm, request := range o.requestsFor(o.takePending()) {
+		go o.send(ctx, vm, request)
+	}
+}
+
+// takePending returns the records that were not sent yet and empties the list.
+func (o *Origins) takePending() []record {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	records := o.pending
 	o.pending = nil
-	o.mu.Unlock()
+	return records
+}
+
+// requestsFor returns a request for each owner of the records but this daemon.
+func (o *Origins) requestsFor(records []record) map[fleet.VM]*originspb.RecordRequest {
 	if len(records) == 0 {
-		return
+		return nil
 	}
 	requests := make(map[fleet.VM]*originspb.RecordRequest)
 	live := o.opts.View().Live()
 	for _, r := range records {
 		for _, vm := range owners(live, r.stream, ownersWritten) {
+			if vm.Name == o.opts.Self {
+				continue
+			}
 			if requests[vm] == nil {
 				requests[vm] = &originspb.RecordRequest{}
 			}
@@ -124,11 +139,7 @@
 			requests[vm].Builds = append(requests[vm].Builds, uint32(r.build))
 		}
 	}
-	for vm, request := range requests {
-		if vm.Name != o.opts.Self {
-			go o.send(ctx, vm, request)
-		}
-	}
+	return requests
 }
 
 // owners returns the up to n daemons that own a stream.
@@ -178,19 +189,21 @@
 		return found.build, nil
 	case own.several:
 		return 0, own.err
+	case found.several || (own.only != 0 && found.only != 0 && own.only != found.only):
+		return 0, errors.New("daemons know different versions of the upstreams")
 	case err != nil && attempt != "":
 		return 0, err
 	case own.sure() != 0:
 		return own.only, nil
-	case found.only != 0 && (own.only == 0 || own.only == found.only):
+	case found.only != 0:
 		return found.only, nil
 	}
 	return 0, errors.Join(own.err, err, errors.New("no other daemon knows the upstreams for long enough"))
 }
 
-// askOwners sends r to the owners of a stream. It returns the first build
-// that one of them has recorded. Otherwise it returns, in only, the build that they
-// agree to be the only one, and an error if some did not answer.
+// askOwners sends r to the owners of a stream. It returns the first recorded build
+// or, if none of them has one, what they know of the only build that upstreams ran,
+// and an error if some did not answer.
 func (o *Origins) askOwners(ctx context.Context, stream uint64, r *originspb.FindRequest) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -205,27 +218,24 @@
 	}
 	var result answer
 	var failures []error
-	agree := true
 	for range asked {
 		a := <-answers
 		if a.build != 0 {
 			return a, nil
 		}
-		agree = agree && (a.only == 0 || result.only == 0 || a.only == result.only)
+		result.several = result.several || (a.only != 0 && result.only != 0 && a.only != result.only)
 		result.only = max(result.only, a.only)
 		failures = append(failures, a.err)
 	}
-	if !agree {
-		result.only = 0
-	}
 	return result, errors.Join(failures...)
 }
 
-// answer is the answer of one owner.
+// answer is the answer of one owner, or of all.
 type answer struct {
-	build catalog.Build // recorded; 0: none
-	only  catalog.Build // the only one that upstreams ran; 0: there are several or not all are known
-	err   error
+	build   catalog.Build // recorded; 0: none
+	only    catalog.Build // the only one that upstreams ran; 0: there are several or not all are known
+	several bool          // the owners know different ones
+	err     error
 }
 
 // ask asks one owner for the build of a stream.
--- a/internal/control/origins/origins_test.go
+++ b/internal/control/origins/origins_test.go
@@ -18,7 +18,7 @@
 
 const (
 	testService = "s"
-	testWindow  = 50 * time.Millisecond
+	testWindow  = 500 * time.Millisecond
 )
 
 // node is the Origins of one daemon with its server.
@@ -43,7 +43,7 @@
 }
 
 // startNodes starts the Origins of n daemons that know each other.
-func startNodes(t *testing.T, n int) []*node {
+func startNodes(t testing.TB, n int) []*node {
 	t.Helper()
 	nodes := make([]*node, n)
 	var vms []fleet.VM
@@ -140,6 +140,11 @@
 			time.Sleep(2 * testWindow)
 			nodes[0].putUpstream("b", "v2")
 		}, 0, 0},
+		"another daemon knows a different version": {func(nodes []*node) {
+			all(nodes[:4], "a", "v1")
+			all(nodes[4:], "b", "v2")
+			time.Sleep(2 * testWindow)
+		}, 0, v1},
 		"the others don't agree": {func(nodes []*node) {
 			all(nodes[1:3], "a", "v1")
 			all(nodes[3:], "b", "v2")
