Read a store anew that was restored from a copy

A follower read on from its offset and missed what was written below it; fencing tokens, which are generations, could be used twice; entries of replicas that had left came back.

--- a/internal/event/provider.go
+++ b/internal/event/provider.go
@@ -15,6 +15,7 @@
 	OrdersReleased           ID = 7010
 	CacheStoreLost           ID = 7011
 	CacheStoreAvailable      ID = 7012
+	ProviderRestored         ID = 7013
 )
 
 var providerEvents = []Definition{
@@ -30,4 +31,5 @@
 	{OrdersReleased, "orders_released", Info, "This daemon lost or released the lease for orders to engines."},
 	{CacheStoreLost, "cache_store_lost", Warn, "A store of cache entries does not answer; engines are not directed to it until it does."},
 	{CacheStoreAvailable, "cache_store_there", Info, "A store of cache entries answers; detail has its epoch, which changes when it starts empty."},
+	{ProviderRestored, "provider_restored", Warn, "A provider was restored from an older copy; its records are read anew, and what it lost is expected to be written again."},
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -4,6 +4,7 @@
 package registrar
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -17,6 +18,9 @@
 	reregisterTime = 2 * time.Second
 	// removalGrace is the time for which such an upstream stays in use.
 	removalGrace = 1500 * time.Millisecond
+	// leftMemory is the time for which an upstream that left is not used again. It is
+	// longer than the age of any copy that the registry may be restored from.
+	leftMemory = 10 * time.Minute
 	// departuresBuffer is the number of departures that may wait to be read.
 	departuresBuffer = 64
 )
@@ -30,14 +34,15 @@
 	recoveredAt time.Time // end of the last outage; zero: there was none
 
 	mu             sync.Mutex
-	pendingRemoval map[string]*time.Timer // by id: entries that expired in an outage and their removal timers
+	pendingRemoval map[string]*time.Timer    // by id: entries that expired in an outage and their removal timers
+	left           map[catalog.Key]time.Time // upstreams that were leaving when their entry was removed, and when
 }
 
 // New returns a registrar that applies changes to w.
 func New(w *catalog.Watcher, r event.Recorder) *Registrar {
 	return &Registrar{
 		watcher: w, recorder: r, departures: make(chan catalog.Key, departuresBuffer),
-		pendingRemoval: make(map[string]*time.Timer),
+		pendingRemoval: make(map[string]*time.Timer), left: make(map[catalog.Key]time.Time),
 	}
 }
 
@@ -45,10 +50,13 @@
 // the registry was reachable. It leaves out some if they are not read in time.
 func (g *Registrar) Departures() <-chan catalog.Key { return g.departures }
 
-// Recovered tells that an outage of the registry has ended.
+// Recovered tells that an outage of the registry has ended, or that it was restored
+// from a copy.
 func (g *Registrar) Recovered() { g.recoveredAt = time.Now() }
 
-// Put adds or replaces an upstream and cancels its pending removal.
+// Put adds or replaces an upstream and cancels its pending removal. An upstream that
+// is leaving stays so, and one that has left does not come back: such entries come
+// from a registry that was restored from an older copy.
 func (g *Registrar) Put(u *catalog.Upstream) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -56,7 +64,13 @@
 		t.Stop()
 		delete(g.pendingRemoval, u.ID)
 	}
+	if _, ok := g.left[u.Key()]; ok {
+		return
+	}
 	previous := g.watcher.Load().Upstreams[u.ID]
+	if previous != nil && previous.Key() == u.Key() {
+		u.Leaving = u.Leaving || previous.Leaving
+	}
 	g.watcher.PutUpstream(u)
 	if u.Leaving && (previous == nil || !previous.Leaving) {
 		g.announceDeparture(u.Key())
@@ -99,6 +113,9 @@
 // registry although their upstreams are alive, so shortly after an outage the
 // upstream is removed only after removalGrace, unless it registers again.
 func (g *Registrar) Remove(id string) {
+	if u := g.watcher.Load().Upstreams[id]; u != nil && u.Leaving {
+		g.recordLeft(u.Key())
+	}
 	if g.recoveredAt.IsZero() || time.Since(g.recoveredAt) >= reregisterTime {
 		if u := g.watcher.Load().Upstreams[id]; u != nil {
 			g.announceDeparture(u.Key())
@@ -113,6 +130,14 @@
 	}
 }
 
+// recordLeft remembers an upstream that was leaving when its entry was removed.
+func (g *Registrar) recordLeft(k catalog.Key) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	maps.DeleteFunc(g.left, func(_ catalog.Key, at time.Time) bool { return time.Since(at) > leftMemory })
+	g.left[k] = time.Now()
+}
+
 // expire removes an upstream whose removal is still pending.
 func (g *Registrar) expire(id string) {
 	g.mu.Lock()
