Keep the versions that served in the log, for a kill of all daemons

What callers saw: after a power-off of all VMs, streams that they took up were refused for 15 s though one version served. Cause: after a kill of all daemons no record is left and nobody has known the upstreams for as long as a stream lasts. Ruled out: the history of the replicas' topic (an entry that expired is a key without a version), the present entries alone (the last replicas of a version may just have left).

--- a/internal/control/origins/history.go
+++ b/internal/control/origins/history.go
@@ -17,6 +17,7 @@
 type history struct {
 	watcher *catalog.Watcher
 	proof   *freshness.Proof // of the upstreams
+	memory  *memory
 }
 
 // buildsKnown is what a daemon knows of the builds of several services.
@@ -43,8 +44,8 @@
 	}
 	for _, service := range services {
 		builds, all := h.watcher.BuildsOf(service, window)
-		if !all {
-			k.err = fmt.Errorf("the upstreams of service %s are known for less than %v", service, window)
+		if !all && !h.memory.add(builds, service) {
+			k.err = fmt.Errorf("the upstreams of service %s are known for less than %v, and no earlier ones were loaded", service, window)
 		}
 		for b := range builds {
 			k.several = k.several || (k.only != 0 && k.only != b)
--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -7,7 +7,8 @@
 // that gets a later attempt asks the owners. A record is sent a short time after
 // the stream began; a stream whose daemon stops before is not recorded anywhere.
 // The owners also say whether all upstreams ran one build lately, since a daemon
-// that has just started does not know that itself.
+// that has just started does not know that itself. A store keeps the builds for the
+// case that all daemons have just started.
 package origins
 
 import (
@@ -53,6 +54,7 @@
 	Recorder event.Recorder
 	Watcher  *catalog.Watcher // of the upstreams
 	Proof    *freshness.Proof // of the time at which the upstreams were the newest
+	Store    BuildStore
 }
 
 // Origins keeps the builds of streams. It is safe for concurrent use.
@@ -74,14 +76,20 @@
 
 // New returns Origins that know no stream.
 func New(o Options) *Origins {
-	return &Origins{opts: o, history: history{watcher: o.Watcher, proof: o.Proof}}
+	m := &memory{
+		store: o.Store, watcher: o.Watcher, recorder: o.Recorder, self: o.Self, view: o.View,
+		savedAt: make(map[SavedBuild]time.Time), seenAt: make(map[SavedBuild]time.Time),
+	}
+	return &Origins{opts: o, history: history{watcher: o.Watcher, proof: o.Proof, memory: m}}
 }
 
 // Register registers the gRPC service with server.
 func (o *Origins) Register(server *grpc.Server) { originspb.RegisterOriginsServer(server, o) }
 
-// Run sends records to their owners until ctx ends.
+// Run sends records to their owners and keeps the builds of upstreams in the store
+// until ctx ends.
 func (o *Origins) Run(ctx context.Context) {
+	go o.history.memory.run(ctx)
 	ticker := time.NewTicker(recordPeriod)
 	defer ticker.Stop()
 	for {
--- a/internal/control/origins/origins_test.go
+++ b/internal/control/origins/origins_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -60,7 +62,7 @@
 		watcher, proof := catalog.NewWatcher(), &freshness.Proof{}
 		o := New(Options{
 			Pool: pool, Self: vm.Name, Recorder: logs, View: func() fleet.View { return fleet.View{VMs: vms} },
-			Watcher: watcher, Proof: proof,
+			Watcher: watcher, Proof: proof, Store: &fakeStore{},
 		})
 		o.Register(server.Server)
 		go func() { _ = server.Run(ctx) }()
@@ -225,3 +227,65 @@
 		t.Errorf("%d builds are kept", n)
 	}
 }
+
+// fakeStore is a BuildStore in memory.
+type fakeStore struct {
+	builds map[SavedBuild]bool
+	saves  int
+	err    error // of all calls
+}
+
+func (s *fakeStore) Load(context.Context) ([]SavedBuild, error) {
+	return slices.Collect(maps.Keys(s.builds)), s.err
+}
+
+func (s *fakeStore) Save(_ context.Context, b SavedBuild, kept bool) error {
+	if s.err != nil {
+		return s.err
+	}
+	s.saves++
+	if kept {
+		s.builds[b] = true
+	} else {
+		delete(s.builds, b)
+	}
+	return nil
+}
+
+// One daemon must save each build once, save it again after some time, in case the
+// store lost it, and delete it when no upstream has run it for long.
+func TestBuildsAreSaved(t *testing.T) {
+	nodes := startNodes(t, 4)
+	shared := &fakeStore{builds: make(map[SavedBuild]bool)}
+	for _, n := range nodes {
+		n.history.memory.store = shared
+		n.putUpstream("a", "v1")
+		n.putUpstream("b", "v2")
+	}
+	now := time.Now()
+	step := func(what string, after time.Duration, builds, saves int) {
+		t.Helper()
+		now = now.Add(after)
+		shared.saves = 0
+		for _, n := range nodes {
+			n.history.memory.saveChanges(t.Context(), now)
+		}
+		if len(shared.builds) != builds || shared.saves != saves {
+			t.Errorf("%s: %d builds after %d saves, want %d after %d", what, len(shared.builds), shared.saves, builds, saves)
+		}
+	}
+	step("new", 0, 2, 2)
+	step("saved before", time.Second, 2, 0)
+	clear(shared.builds)
+	step("lost by the store", saveAgain, 2, 2)
+	for _, n := range nodes {
+		n.watcher.RemoveUpstream("b")
+	}
+	shared.err = errors.New("the store is away")
+	step("store away", saveAgain, 2, 0)
+	shared.err = nil
+	step("one without upstreams", time.Second, 2, 2)
+	step("not for long enough", forgetAfter/2, 2, 2)
+	step("for long", forgetAfter/2, 1, 2)
+	step("deleted", time.Second, 1, 0)
+}
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -49,6 +49,7 @@
 	Proof    *freshness.Proof // of the time at which the configuration was the newest
 	// RegistryProof is that of the upstreams.
 	RegistryProof *freshness.Proof
+	Builds        origins.BuildStore
 	Recorder      event.Recorder
 	// Departures delivers the upstreams that this daemon has read to be leaving.
 	Departures <-chan catalog.Key
@@ -81,7 +82,7 @@
 		Proof: p.proof, OnProof: p.onProof,
 	})
 	p.origins = origins.New(origins.Options{
-		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof,
+		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof, Store: o.Builds,
 	})
 	p.membership.Register(p.server.Server)
 	p.exchange.Register(p.server.Server)
