Call it resuming when a caller goes on with a stream

Cause: code and log said that streams are "taken up", which is not the usual term. Change: names, comments and the text of event 2015, now stream_resumed_by_caller. Measured: tests of event and gateway pass.

--- a/internal/control/origins/memory.go
+++ b/internal/control/origins/memory.go
@@ -22,7 +22,7 @@
 	// lost it.
 	saveAgain = time.Minute
 	// forgetAfter is the time after which a build without upstreams is deleted. No
-	// stream that it began can still be taken up.
+	// stream that it began can still be resumed.
 	forgetAfter  = 5 * time.Minute
 	storeTimeout = 2 * time.Second
 )
--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -1,5 +1,5 @@
 // Package origins tells daemons which build of an upstream began a stream, so
-// that a caller that takes the stream up at another daemon gets it from the same
+// that a caller that resumes it at another daemon gets the rest from the same
 // build.
 //
 // The daemon that begins a stream records its build at a few owners, which
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -2,17 +2,17 @@
 
 // Events of requests, attempts and caller connections: 2000 to 2999.
 const (
-	RequestServed     ID = 2001
-	RequestRefused    ID = 2002
-	RequestCancelled  ID = 2003
-	AttemptFailed     ID = 2004
-	AttemptRetried    ID = 2005
-	StreamResumed     ID = 2006
-	StreamBroken      ID = 2007
-	AttemptHedged     ID = 2012
-	ConnectionRefused ID = 2013
-	AttemptWithdrawn  ID = 2014
-	StreamTakenUp     ID = 2015
+	RequestServed         ID = 2001
+	RequestRefused        ID = 2002
+	RequestCancelled      ID = 2003
+	AttemptFailed         ID = 2004
+	AttemptRetried        ID = 2005
+	StreamResumed         ID = 2006
+	StreamBroken          ID = 2007
+	AttemptHedged         ID = 2012
+	ConnectionRefused     ID = 2013
+	AttemptWithdrawn      ID = 2014
+	StreamResumedByCaller ID = 2015
 )
 
 var requestEvents = []Definition{
@@ -26,5 +26,5 @@
 	{AttemptHedged, "attempt_hedged", Info, "A second (hedged) attempt was started beside a slow first one."},
 	{ConnectionRefused, "connection_refused", Warn, "A caller's connection was refused because too many are open."},
 	{AttemptWithdrawn, "attempt_withdrawn", Warn, "A request that waited in an engine was cancelled there, because the engine's weights were replaced too long ago."},
-	{StreamTakenUp, "stream_taken_up", Info, "A caller's later attempt goes on with a stream; detail has the attempt that began it, the caller's last event and the software versions."},
+	{StreamResumedByCaller, "stream_resumed_by_caller", Info, "A caller's later attempt resumes a stream; detail has the attempt that began it, the caller's last event and the software versions."},
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,7 @@
 	Metrics     *metrics.Gateway // nil: metrics are discarded
 	Proof       *freshness.Proof // when the configuration was last proved to be the newest
 	MaxProofAge time.Duration    // maximum age of Proof at which keys are accepted
-	Origins     Origins          // nil: streams are taken up at any build
+	Origins     Origins          // nil: callers resume streams at any build
 	// StaleWeightsCut is the time after the announcement of a newer weights version
 	// from which a request that still waits in an engine with older weights is taken
 	// back; 0: never.
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -22,30 +22,30 @@
 // stream. The retry should reach another daemon.
 const originRetryAfter = 200 * time.Millisecond
 
-// takesUpStream reports whether the request goes on with a stream whose first
+// resumesStream reports whether the caller resumes a stream whose first
 // events an earlier attempt of the caller brought.
-func (q *request) takesUpStream() bool { return q.route.Kind == catalog.Stream && q.LastEvent > 0 }
+func (q *request) resumesStream() bool { return q.route.Kind == catalog.Stream && q.LastEvent > 0 }
 
 // attemptOfStream returns the id of the caller's attempt that began the stream.
 func (q *request) attemptOfStream() string {
-	if q.takesUpStream() {
+	if q.resumesStream() {
 		return q.FirstAttempt
 	}
 	return q.ID
 }
 
-// recordOrigin remembers which build began the stream, if it may be taken up.
+// recordOrigin remembers which build began the stream, if callers may resume it.
 func (g *Gateway) recordOrigin(q *request) {
 	if attempt := q.attemptOfStream(); g.opts.Origins != nil && q.route.Resumable && attempt != "" {
 		g.opts.Origins.RecordBuild(attempt, q.build)
 	}
 }
 
-// bindToOrigin binds a request that goes on with a stream to the service and the
+// bindToOrigin binds a request that resumes a stream to the service and the
 // build that began it. It refuses the request if they are not known or not
 // available.
 func (g *Gateway) bindToOrigin(q *request) error {
-	if g.opts.Origins == nil || !q.takesUpStream() {
+	if g.opts.Origins == nil || !q.resumesStream() {
 		return nil
 	}
 	build, err := g.opts.Origins.FindBuild(q.ctx, q.FirstAttempt, servicesOf(q.route), q.route.Timeout)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -224,11 +224,11 @@
 	g.opts.Balancer.Began(a.pick, freshness.Time())
 	q.software, q.build = a.pick.Upstream.Software, a.pick.Upstream.Build()
 	g.recordOrigin(q)
-	if !q.takesUpStream() {
+	if !q.resumesStream() {
 		return
 	}
 	g.opts.Recorder.Record(event.Event{
-		ID: event.StreamTakenUp, Request: q.ID, Upstream: a.pick.Upstream.ID, Step: "relay",
+		ID: event.StreamResumedByCaller, Request: q.ID, Upstream: a.pick.Upstream.ID, Step: "relay",
 		Detail: fmt.Sprintf("began as %q, after event %d, software %s", q.FirstAttempt, q.LastEvent, q.software),
 	})
 }
