Wake for records of versions only when there are some

Change: the first record wakes it; 25 ms later all that came are sent. Measured: tests of origins and of resumed streams in platform pass with the race detector.

--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -66,6 +66,8 @@
 
 	mu      sync.Mutex
 	pending []record // not sent yet
+
+	hasPending chan struct{} // holds one value after a record was added to pending
 }
 
 // record is the build that began a stream.
@@ -80,7 +82,7 @@
 		store: o.Store, watcher: o.Watcher, recorder: o.Recorder, self: o.Self, view: o.View,
 		savedAt: make(map[SavedBuild]time.Time), seenAt: make(map[SavedBuild]time.Time),
 	}
-	return &Origins{opts: o, history: history{watcher: o.Watcher, proof: o.Proof, memory: m}}
+	return &Origins{opts: o, hasPending: make(chan struct{}, 1), history: history{watcher: o.Watcher, proof: o.Proof, memory: m}}
 }
 
 // Register registers the gRPC service with server.
@@ -90,15 +92,14 @@
 // until ctx ends.
 func (o *Origins) Run(ctx context.Context) {
 	go o.history.memory.run(ctx)
-	ticker := time.NewTicker(recordPeriod)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			o.sendPending(ctx)
+		case <-o.hasPending:
 		}
+		time.Sleep(recordPeriod)
+		o.sendPending(ctx)
 	}
 }
 
@@ -108,8 +109,12 @@
 	r := record{rendezvous.Hash(attempt), b}
 	o.known.put(r.stream, b, time.Now())
 	o.mu.Lock()
-	defer o.mu.Unlock()
 	o.pending = append(o.pending, r)
+	o.mu.Unlock()
+	select {
+	case o.hasPending <- struct{}{}:
+	default:
+	}
 }
 
 // sendPending sends the records that were not sent yet, in one call for each owner.
