--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -47,9 +47,9 @@
 	Watcher  *catalog.Watcher
 	Balancer *balance.Balancer
 	Proof    *freshness.Proof // of the time at which the configuration was the newest
-	// RegistryProof is that of the upstreams.
+	// RegistryProof is of the time at which the upstreams were the newest.
 	RegistryProof *freshness.Proof
-	Builds        origins.BuildStore
+	Builds        origins.BuildStore // keeps the upstreams' builds beyond the life of all daemons
 	Recorder      event.Recorder
 	// Departures delivers the upstreams that this daemon has read to be leaving.
 	Departures <-chan catalog.Key
