--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -31,7 +31,7 @@
 // attempt is one attempt to get a response from an upstream.
 type attempt struct {
 	pick     *balance.Pick
-	response *http.Response
+	response *upstream.Reply // nil: none came
 	head     Inbound
 	watch    *weightsWatch // nil: its weights are not watched
 }
@@ -157,6 +157,17 @@
 	}
 }
 
+// countSent updates the metrics for a request that the transport has sent on
+// transportSends connections.
+func (g *Gateway) countSent(q *request, transportSends int) {
+	kind := metrics.SendFirst
+	if q.sends > 0 {
+		kind = metrics.SendRepeated
+	}
+	g.opts.Metrics.Sent(q.service.Name, kind, 1)
+	g.opts.Metrics.Sent(q.service.Name, metrics.SendByTransport, transportSends-1)
+}
+
 // mayShed reports whether the request may still be refused because of overload:
 // it goes to an engine and was not sent yet.
 func (q *request) mayShed() bool {
@@ -202,11 +213,13 @@
 	if err != nil {
 		sent := upstream.Sent(err)
 		if sent {
+			g.countSent(q, upstream.Sends(err))
 			q.sends++
 			q.runs++
 		}
 		return &failedAttempt{notRun: !sent, sent: sent, err: err}
 	}
+	g.countSent(q, res.Sends)
 	q.sends++
 	a.response = res
 	a.head = g.opts.Dialect.Inbound(res.StatusCode, res.Header)
@@ -323,10 +336,24 @@
 	g.end(a, outcome)
 	g.opts.Recorder.Record(event.Event{
 		ID: event.AttemptFailed, Request: q.ID, Upstream: a.pick.Upstream.ID,
-		Step: "send", Err: failure.At("send", a.pick.Upstream.Address, err),
+		Step: "send", Detail: q.evidence(a), Err: failure.At("send", a.pick.Upstream.Address, err),
 	})
 }
 
+// evidence describes for the log what an attempt's response says about whose it is
+// and whether the request ran. It is empty if no response came.
+func (q *request) evidence(a *attempt) string {
+	if a.response == nil {
+		return ""
+	}
+	owner := "this request"
+	if a.head.ID != q.ID {
+		owner = fmt.Sprintf("%q", a.head.ID)
+	}
+	return fmt.Sprintf("route %s, status %d, response to %s, signed %t, states not run %t, connection reused %t, sent %d times by the transport",
+		q.route.Name, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused, a.response.Sends)
+}
+
 // end reports the outcome of an attempt to the balancer and the metrics.
 func (g *Gateway) end(a *attempt, o balance.Outcome) {
 	_ = a.watch.stop()
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -60,3 +60,24 @@
 		}
 	}
 }
+
+// The line of a failed attempt must tell what the response says about whose it is
+// and whether the request ran, and the metrics how often requests were sent.
+func TestFailedAttemptShowsItsEvidence(t *testing.T) {
+	r := newReplica(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Not-Run", "yes")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	f := start(t, r)
+	if _, _, err := f.post(t, "/once/"); err != nil {
+		t.Fatal(err)
+	}
+	_ = f.record.Close()
+	want := "status 503, response to this request, signed true, states not run true, connection reused false, sent 1 times by the transport"
+	if !strings.Contains(f.logs.String(), want) {
+		t.Errorf("no %q in %s", want, f.logs)
+	}
+	if want := `currantpulley_gateway_sends_total{kind="first",service="s"} 1`; !strings.Contains(scrape(t, f.metrics), want) {
+		t.Errorf("no %q in %s", want, scrape(t, f.metrics))
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -101,7 +101,7 @@
 	return fmt.Sprintf("route %s, status %d, first %v, pause %v, whole %v, sends %d, expected %v, weights %d, framing %s, last event %d",
 		q.route.Name, a.response.StatusCode, q.firstByte.Round(time.Millisecond), q.maxPause.Round(time.Millisecond),
 		time.Since(q.arrived).Round(time.Millisecond), q.sends, a.pick.Wait.Round(time.Millisecond), a.pick.Version,
-		framingOf(a.response), q.lastRelayed)
+		framingOf(a.response.Response), q.lastRelayed)
 }
 
 // framing is how the end of a response's body is marked.
@@ -237,7 +237,7 @@
 // end of the stream. It may be in a resumption, if its framing marks it as
 // complete.
 func (q *request) checkEmptyStream(a *attempt) error {
-	if q.headSent && framingOf(a.response) != framingConnection {
+	if q.headSent && framingOf(a.response.Response) != framingConnection {
 		return nil
 	}
 	return fmt.Errorf("%w: the stream has no events", upstream.ErrTruncated)
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -10,12 +10,12 @@
 
 const (
 	subsystem = "gateway"
-	// maxRoutes is the number of routes that get label values of their own. It
-	// bounds the number of time series.
-	maxRoutes = 48
-	// otherRoutes is the label value of all further routes and of requests
-	// without a route.
-	otherRoutes = "other"
+	// maxNames is the number of routes, and of services, that get label values of
+	// their own. It bounds the number of time series.
+	maxNames = 48
+	// otherNames is the label value of all further routes and services, and of
+	// requests without a route.
+	otherNames = "other"
 )
 
 // stageBuckets are the histogram buckets of stage durations, in seconds.
@@ -42,17 +42,29 @@
 	SourceFetched  Source = "fetched"  // from another engine or a cache store
 )
 
+// Send is the reason why a request was sent to an upstream.
+type Send string
+
+// Reasons of sends.
+const (
+	SendFirst       Send = "first"
+	SendRepeated    Send = "repeated"  // after an earlier send failed
+	SendByTransport Send = "transport" // by the HTTP transport, after its connection broke
+)
+
 // Gateway holds the metrics of the requests that the gateway relays. It is safe
 // for concurrent use.
 type Gateway struct {
 	requests *prometheus.CounterVec
 	stages   *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
+	sends    *prometheus.CounterVec
 	tokens   *prometheus.CounterVec
 	progress prometheus.Gauge
 
-	mu     sync.Mutex
-	routes map[string]bool // routes with a label value of their own
+	mu       sync.Mutex
+	routes   map[string]bool // routes with a label value of their own
+	services map[string]bool // services with a label value of their own
 }
 
 // NewGateway returns the gateway's metrics, registered in r.
@@ -68,11 +80,13 @@
 			Help: "Time from a request's arrival until it was sent, its answer began, and its answer was whole.", Buckets: stageBuckets,
 		}, []string{"route", "stage"}),
 		attempts: counter("attempts_total", "Attempts at upstreams by result.", "result"),
+		sends:    counter("sends_total", "Requests sent to upstreams by service and by whether they repeat an earlier send.", "service", "kind"),
 		tokens:   counter("prompt_tokens_total", "Tokens of prompts by where the engine was expected to get them.", "source"),
 		progress: f.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Subsystem: subsystem, Name: "requests_in_progress", Help: "Requests that arrived and have not ended.",
 		}),
-		routes: make(map[string]bool),
+		routes:   make(map[string]bool),
+		services: make(map[string]bool),
 	}
 }
 
@@ -82,18 +96,25 @@
 // RequestEnded counts a request as ended. reason is empty for a served request.
 func (g *Gateway) RequestEnded(route, outcome, reason string) {
 	g.progress.Dec()
-	g.requests.WithLabelValues(g.label(route), outcome, reason).Inc()
+	g.requests.WithLabelValues(g.label(g.routes, route), outcome, reason).Inc()
 }
 
 // ObserveStage observes the time d from a request's arrival to the end of stage
 // s.
 func (g *Gateway) ObserveStage(route string, s Stage, d time.Duration) {
-	g.stages.WithLabelValues(g.label(route), string(s)).Observe(d.Seconds())
+	g.stages.WithLabelValues(g.label(g.routes, route), string(s)).Observe(d.Seconds())
 }
 
 // Attempt counts an attempt at an upstream by its result.
 func (g *Gateway) Attempt(result string) { g.attempts.WithLabelValues(result).Inc() }
 
+// Sent adds n requests that were sent to a service's upstreams.
+func (g *Gateway) Sent(service string, kind Send, n int) {
+	if n > 0 {
+		g.sends.WithLabelValues(g.label(g.services, service), string(kind)).Add(float64(n))
+	}
+}
+
 // Tokens adds n prompt tokens from one source.
 func (g *Gateway) Tokens(s Source, n int) {
 	if n > 0 {
@@ -101,20 +122,20 @@
 	}
 }
 
-// label returns the route's label value: its name for the first maxRoutes
-// routes, else otherRoutes.
-func (g *Gateway) label(route string) string {
-	if route == "" {
-		return otherRoutes
+// label returns the label value of a route or service: its name if it is one of
+// the first maxNames names in known, else otherNames. It adds new names to known.
+func (g *Gateway) label(known map[string]bool, name string) string {
+	if name == "" {
+		return otherNames
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.routes[route] {
-		return route
+	if known[name] {
+		return name
 	}
-	if len(g.routes) >= maxRoutes {
-		return otherRoutes
+	if len(known) >= maxNames {
+		return otherNames
 	}
-	g.routes[route] = true
-	return route
+	known[name] = true
+	return name
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -69,11 +69,11 @@
 func TestRoutesAreBounded(t *testing.T) {
 	r := prometheus.NewRegistry()
 	g := NewGateway(r)
-	for i := range 10 * maxRoutes {
+	for i := range 10 * maxNames {
 		g.RequestStarted()
 		g.RequestEnded(fmt.Sprint("route-", i), "served", "")
 	}
-	if n := testutil.CollectAndCount(g.requests); n != maxRoutes+1 {
+	if n := testutil.CollectAndCount(g.requests); n != maxNames+1 {
 		t.Errorf("got %d time series", n)
 	}
 }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -76,16 +76,28 @@
 	}
 }
 
+// Reply is the response to one request, whose body is not read yet, and how it was
+// got.
+type Reply struct {
+	*http.Response
+	Reused bool // the connection had served another request before
+	Sends  int  // connections on which the request was sent, by the transport itself too
+}
+
 // RoundTrip sends req over t. Its error is a *SendError, which tells whether a
 // byte of the request may have been sent.
-func RoundTrip(t http.RoundTripper, req *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+func RoundTrip(t http.RoundTripper, req *http.Request) (*Reply, error) {
+	var sends atomic.Int64
+	var reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		sends.Add(1)
+		reused.Store(info.Reused)
+	}}
 	res, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
-		return nil, &SendError{Sent: connected.Load(), Err: err}
+		return nil, &SendError{Sent: sends.Load() > 0, Reused: reused.Load(), Sends: int(sends.Load()), Err: err}
 	}
-	return res, nil
+	return &Reply{Response: res, Reused: reused.Load(), Sends: int(sends.Load())}, nil
 }
 
 // send sends req and returns the response, whose body is not read yet.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -86,10 +86,12 @@
 }
 
 // SendError is a failure to get a response. Sent tells whether a byte of the
-// request may have been sent.
+// request may have been sent. Reused and Sends are as in Reply.
 type SendError struct {
-	Sent bool
-	Err  error
+	Sent   bool
+	Reused bool
+	Sends  int
+	Err    error
 }
 
 // Error implements error.
@@ -108,6 +110,15 @@
 	return true
 }
 
+// Sends returns on how many connections the request of err was sent, as in Reply.
+func Sends(err error) int {
+	var s *SendError
+	if errors.As(err, &s) {
+		return s.Sends
+	}
+	return 0
+}
+
 // StatusError is a response with an unexpected status.
 type StatusError struct {
 	Status  int
