Believe nothing of a response that belongs to another request

Callers saw calls that ran twice, or ran although they were refused.

Cause: the gateway asked whether a response states 'not run' before it asked whether the response is that of its request. A late refusal of another request on a kept connection made it send the call again, or refuse it as not run. Load and weights version were taken from such responses too. And the connection stayed in use: a response without a body had returned it to the pool, so the next request got the response that came next.

The id is compared first now, and a response with another one closes its connection.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -290,26 +290,21 @@
 }
 
 // checkHead takes the load and the weights version from the head of the
-// response. It rejects a refusal, a response that belongs to another request, an
-// unsigned one below status 400, an encoded one, and a server error that may be
-// retried.
+// response. It rejects a response that belongs to another request, of which nothing
+// is believed, a refusal, an unsigned response below status 400, an encoded one, and
+// a server error that may be retried.
 func (g *Gateway) checkHead(q *request, a *attempt) error {
-	now := freshness.Time()
-	key := a.pick.Upstream.Key()
-	if a.head.Load != nil {
-		g.opts.Balancer.RecordLoad(key, *a.head.Load, now)
-	}
-	if a.head.Version != 0 && q.Prompt != nil {
-		g.opts.Balancer.RecordVersion(key, q.Prompt.Model, a.head.Version, now)
+	if a.head.ID != q.ID {
+		q.runs++
+		a.response.Discard()
+		return &failedAttempt{sent: true, err: fmt.Errorf("%w: %q instead of %q", upstream.ErrWrongRequestID, a.head.ID, q.ID)}
 	}
+	g.recordHead(q, a)
 	status := a.response.StatusCode
 	if a.head.NotRun {
 		return &failedAttempt{notRun: true, refused: true, sent: true, err: fmt.Errorf("the upstream refused the request with status %d", status)}
 	}
 	q.runs++
-	if a.head.ID != q.ID {
-		return &failedAttempt{sent: true, err: fmt.Errorf("%w: %q instead of %q", upstream.ErrWrongRequestID, a.head.ID, q.ID)}
-	}
 	if !a.head.Signed && status < http.StatusBadRequest {
 		return &failedAttempt{sent: true, err: fmt.Errorf("%w: the response is not signed", upstream.ErrMalformed)}
 	}
@@ -322,6 +317,19 @@
 	return nil
 }
 
+// recordHead reports what the head of a's response says about its upstream to the
+// balancer.
+func (g *Gateway) recordHead(q *request, a *attempt) {
+	now := freshness.Time()
+	key := a.pick.Upstream.Key()
+	if a.head.Load != nil {
+		g.opts.Balancer.RecordLoad(key, *a.head.Load, now)
+	}
+	if a.head.Version != 0 && q.Prompt != nil {
+		g.opts.Balancer.RecordVersion(key, q.Prompt.Model, a.head.Version, now)
+	}
+}
+
 // fail reports the outcome of a failed attempt to the balancer and records an
 // event.
 func (g *Gateway) fail(q *request, a *attempt, err error) {
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -6,7 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
 
@@ -82,22 +82,48 @@
 	*http.Response
 	Reused bool // the connection had served another request before
 	Sends  int  // connections on which the request was sent, by the transport itself too
+	conn   net.Conn
+}
+
+// Discard closes the response and its connection. It must be called instead of
+// closing the body if the response is not that of the request: what follows on the
+// connection would be taken for the response of the next request.
+func (r *Reply) Discard() {
+	if r.conn != nil {
+		_ = r.conn.Close()
+	}
+	_ = r.Body.Close()
 }
 
 // RoundTrip sends req over t. Its error is a *SendError, which tells whether a
 // byte of the request may have been sent.
 func RoundTrip(t http.RoundTripper, req *http.Request) (*Reply, error) {
-	var sends atomic.Int64
-	var reused atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		sends.Add(1)
-		reused.Store(info.Reused)
-	}}
+	var s sendTrace
+	trace := &httptrace.ClientTrace{GotConn: s.gotConn}
 	res, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err != nil {
-		return nil, &SendError{Sent: sends.Load() > 0, Reused: reused.Load(), Sends: int(sends.Load()), Err: err}
+		return nil, &SendError{Sent: s.sends > 0, Reused: s.reused, Sends: s.sends, Err: err}
 	}
-	return &Reply{Response: res, Reused: reused.Load(), Sends: int(sends.Load())}, nil
+	return &Reply{Response: res, Reused: s.reused, Sends: s.sends, conn: s.conn}, nil
+}
+
+// sendTrace records the connections on which a transport sends a request.
+type sendTrace struct {
+	mu     sync.Mutex
+	sends  int
+	reused bool
+	conn   net.Conn // the latest; nil: none yet
+}
+
+// gotConn records that the request is about to be sent on a connection.
+func (s *sendTrace) gotConn(info httptrace.GotConnInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sends++
+	s.reused = info.Reused
+	s.conn = info.Conn
 }
 
 // send sends req and returns the response, whose body is not read yet.
