Pass on no status that promises 'not run' without a proof

Callers got 503, 429, 408 or 421 for calls that an upstream had run and then answered with its own failure. By these statuses the router promises that the request has not run and never will; callers repeat such calls.

Cause: every response from status 400 on was relayed as it came, and a bare 421 counted as a statement that the request did not run, so that the call was sent to another upstream.

Such a status counts as a failure now: it is retried if the route allows it, else the caller gets 502. Only the header field that states 'not run' in an unsigned response with an error status is a proof.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -291,8 +291,9 @@
 
 // checkHead takes the load and the weights version from the head of the
 // response. It rejects a response that belongs to another request, of which nothing
-// is believed, a refusal, an unsigned response below status 400, an encoded one, and
-// a server error that may be retried.
+// is believed, a refusal, a status that promises "not run" without a statement of the
+// upstream, an unsigned response below status 400, an encoded one, and a server error
+// that may be retried.
 func (g *Gateway) checkHead(q *request, a *attempt) error {
 	if a.head.ID != q.ID {
 		q.runs++
@@ -305,6 +306,9 @@
 		return &failedAttempt{notRun: true, refused: true, sent: true, err: fmt.Errorf("the upstream refused the request with status %d", status)}
 	}
 	q.runs++
+	if notRunStatuses[status] {
+		return &failedAttempt{sent: true, err: fmt.Errorf("%w: status %d without the statement that the request did not run", upstream.ErrMalformed, status)}
+	}
 	if !a.head.Signed && status < http.StatusBadRequest {
 		return &failedAttempt{sent: true, err: fmt.Errorf("%w: the response is not signed", upstream.ErrMalformed)}
 	}
