Send each request on one connection only

Callers with GET, HEAD or OPTIONS calls that must run once, or with a header field Idempotency-Key or X-Idempotency-Key, would have seen calls that ran twice: net/http sends such a request again on another connection when a kept connection breaks, also after the request was written. The router did not know of it: the retry budget did not count it, and a refusal of the second send was taken for the proof that the call had not run.

Connections count the bytes that are written to them now. RoundTrip lets the transport go to another connection only while no byte of the request was written, and tells from that count, not from having a connection, whether the request may have been sent. A connection is sealed before the error is returned, so that no late write contradicts it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -157,15 +157,13 @@
 	}
 }
 
-// countSent updates the metrics for a request that the transport has sent on
-// transportSends connections.
-func (g *Gateway) countSent(q *request, transportSends int) {
+// countSent updates the metrics for a request that was sent.
+func (g *Gateway) countSent(q *request) {
 	kind := metrics.SendFirst
 	if q.sends > 0 {
 		kind = metrics.SendRepeated
 	}
-	g.opts.Metrics.Sent(q.service.Name, kind, 1)
-	g.opts.Metrics.Sent(q.service.Name, metrics.SendByTransport, transportSends-1)
+	g.opts.Metrics.Sent(q.service.Name, kind)
 }
 
 // mayShed reports whether the request may still be refused because of overload:
@@ -213,13 +211,13 @@
 	if err != nil {
 		sent := upstream.Sent(err)
 		if sent {
-			g.countSent(q, upstream.Sends(err))
+			g.countSent(q)
 			q.sends++
 			q.runs++
 		}
 		return &failedAttempt{notRun: !sent, sent: sent, err: err}
 	}
-	g.countSent(q, res.Sends)
+	g.countSent(q)
 	q.sends++
 	a.response = res
 	a.head = g.opts.Dialect.Inbound(res.StatusCode, res.Header)
@@ -362,8 +360,8 @@
 	if a.head.ID != q.ID {
 		owner = fmt.Sprintf("%q", a.head.ID)
 	}
-	return fmt.Sprintf("route %s, status %d, response to %s, signed %t, states not run %t, connection reused %t, sent %d times by the transport",
-		q.route.Name, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused, a.response.Sends)
+	return fmt.Sprintf("route %s, status %d, response to %s, signed %t, states not run %t, connection reused %t",
+		q.route.Name, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused)
 }
 
 // end reports the outcome of an attempt to the balancer and the metrics.
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -42,14 +42,13 @@
 	SourceFetched  Source = "fetched"  // from another engine or a cache store
 )
 
-// Send is the reason why a request was sent to an upstream.
+// Send is the kind of a request that was sent to an upstream.
 type Send string
 
-// Reasons of sends.
+// Kinds of sends.
 const (
-	SendFirst       Send = "first"
-	SendRepeated    Send = "repeated"  // after an earlier send failed
-	SendByTransport Send = "transport" // by the HTTP transport, after its connection broke
+	SendFirst    Send = "first"
+	SendRepeated Send = "repeated" // after an earlier send failed
 )
 
 // Gateway holds the metrics of the requests that the gateway relays. It is safe
@@ -108,11 +107,9 @@
 // Attempt counts an attempt at an upstream by its result.
 func (g *Gateway) Attempt(result string) { g.attempts.WithLabelValues(result).Inc() }
 
-// Sent adds n requests that were sent to a service's upstreams.
-func (g *Gateway) Sent(service string, kind Send, n int) {
-	if n > 0 {
-		g.sends.WithLabelValues(g.label(g.services, service), string(kind)).Add(float64(n))
-	}
+// Sent counts a request that was sent to one of a service's upstreams.
+func (g *Gateway) Sent(service string, kind Send) {
+	g.sends.WithLabelValues(g.label(g.services, service), string(kind)).Inc()
 }
 
 // Tokens adds n prompt tokens from one source.
--- /dev/null
+++ b/internal/upstream/roundtrip.go
@@ -0,0 +1,112 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+)
+
+// errNoResend is the error of a request whose connection closed after a byte of it
+// was written. net/http would send some of them again: GET, HEAD, OPTIONS, TRACE and
+// those with an idempotency key.
+var errNoResend = errors.New("the connection closed after the request was sent on it")
+
+// Reply is the response to one request, whose body is not read yet, and how it was
+// got.
+type Reply struct {
+	*http.Response
+	Reused bool // the connection had served another request before
+	conn   net.Conn
+}
+
+// Discard closes the response and its connection. It must be called instead of
+// closing the body if the response is not that of the request: what follows on the
+// connection would be taken for the response of the next request.
+func (r *Reply) Discard() {
+	if r.conn != nil {
+		_ = r.conn.Close()
+	}
+	_ = r.Body.Close()
+}
+
+// RoundTrip sends req over t at most once: the transport may try another connection
+// only as long as no byte of the request was written. Its error is a *SendError, which
+// tells whether a byte may have been sent. t must be a transport of NewTransport or
+// NewOnceTransport; with others, a request counts as sent once it has a connection.
+func RoundTrip(t http.RoundTripper, req *http.Request) (*Reply, error) {
+	ctx, cancel := context.WithCancelCause(req.Context())
+	s := &singleSend{cancel: cancel}
+	trace := &httptrace.ClientTrace{GotConn: s.gotConn}
+	res, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace))) //nolint:bodyclose // closed by the caller
+	if err != nil {
+		cancel(err)
+		return nil, &SendError{Sent: s.seal(), Reused: s.reused, Err: err}
+	}
+	res.Body = &cancellingBody{ReadCloser: res.Body, cancel: cancel}
+	return &Reply{Response: res, Reused: s.reused, conn: s.conn}, nil
+}
+
+// cancellingBody releases the context of a request when its response is closed.
+type cancellingBody struct {
+	io.ReadCloser
+	cancel context.CancelCauseFunc
+}
+
+// Close implements io.Closer.
+func (b *cancellingBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.cancel(context.Canceled)
+	return err
+}
+
+// singleSend lets a transport send one request on one connection only. Transports
+// call gotConn once for each connection, one call after the other.
+type singleSend struct {
+	cancel context.CancelCauseFunc // of the request
+
+	mu     sync.Mutex
+	conn   net.Conn // the latest; nil: none yet
+	before int64    // bytes that were written to conn before the request
+	reused bool     // conn had served another request before
+}
+
+// gotConn notes the connection on which the request is about to be sent. If a byte
+// was written to an earlier one, it makes the transport give up instead.
+func (s *singleSend) gotConn(info httptrace.GotConnInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	tracked, ok := info.Conn.(*trackedConn)
+	if s.sent() {
+		if ok {
+			tracked.seal()
+		}
+		s.cancel(errNoResend)
+		return
+	}
+	s.conn, s.reused = info.Conn, info.Reused
+	if ok {
+		s.before = tracked.bytesWritten()
+	}
+}
+
+// seal forbids further writes of the request and reports whether a byte of it may
+// have been written.
+func (s *singleSend) seal() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent()
+}
+
+// sent forbids further writes to the connection and reports whether a byte of the
+// request may have been written to it. s.mu is held.
+func (s *singleSend) sent() bool {
+	if s.conn == nil {
+		return false
+	}
+	tracked, ok := s.conn.(*trackedConn)
+	return !ok || tracked.seal() > s.before
+}
--- /dev/null
+++ b/internal/upstream/trackedconn.go
@@ -0,0 +1,77 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+)
+
+// errSealed is the error of a write to a sealed connection.
+var errSealed = errors.New("the connection accepts no further request")
+
+// trackedConn is a connection that tells whether bytes were written to it, and that
+// can be closed for writes. It is safe for concurrent use.
+type trackedConn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	written int64 // bytes that were handed to the kernel, or may be by a write in progress
+	sealed  bool
+}
+
+// dialTracked returns a dial function whose connections are trackedConns.
+func dialTracked(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &trackedConn{Conn: c}, nil
+	}
+}
+
+// Write implements net.Conn. It writes nothing to a sealed connection.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	if err := c.reserve(len(p)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	c.release(len(p) - n)
+	return n, err
+}
+
+// reserve counts n bytes as written before they are.
+func (c *trackedConn) reserve(n int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return errSealed
+	}
+	c.written += int64(n)
+	return nil
+}
+
+// release takes back n bytes that were not written.
+func (c *trackedConn) release(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.written -= int64(n)
+}
+
+// bytesWritten returns the number of bytes that were written, or may be by a write
+// in progress.
+func (c *trackedConn) bytesWritten() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.written
+}
+
+// seal forbids all further writes and returns what bytesWritten returns from now on,
+// or more.
+func (c *trackedConn) seal() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.written
+}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptrace"
-	"sync"
 	"syscall"
 	"time"
 
@@ -29,10 +27,9 @@
 	maxHeaderBytes    = 64 << 10
 )
 
-// NewTransport returns the transport for repeatable requests. It reuses
-// connections and closes them after idleConnTimeout. It is that of net/http,
-// because nbhttp's client returns a response only when it is complete and so
-// can't relay streams.
+// NewTransport returns a transport for RoundTrip. It reuses connections and closes
+// them after idleConnTimeout. It is that of net/http, because nbhttp's client returns
+// a response only when it is complete and so can't relay streams.
 func NewTransport() *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
@@ -42,7 +39,7 @@
 		},
 	}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialTracked(dialer.DialContext),
 		MaxIdleConnsPerHost:    idlePerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -76,56 +73,6 @@
 	}
 }
 
-// Reply is the response to one request, whose body is not read yet, and how it was
-// got.
-type Reply struct {
-	*http.Response
-	Reused bool // the connection had served another request before
-	Sends  int  // connections on which the request was sent, by the transport itself too
-	conn   net.Conn
-}
-
-// Discard closes the response and its connection. It must be called instead of
-// closing the body if the response is not that of the request: what follows on the
-// connection would be taken for the response of the next request.
-func (r *Reply) Discard() {
-	if r.conn != nil {
-		_ = r.conn.Close()
-	}
-	_ = r.Body.Close()
-}
-
-// RoundTrip sends req over t. Its error is a *SendError, which tells whether a
-// byte of the request may have been sent.
-func RoundTrip(t http.RoundTripper, req *http.Request) (*Reply, error) {
-	var s sendTrace
-	trace := &httptrace.ClientTrace{GotConn: s.gotConn}
-	res, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err != nil {
-		return nil, &SendError{Sent: s.sends > 0, Reused: s.reused, Sends: s.sends, Err: err}
-	}
-	return &Reply{Response: res, Reused: s.reused, Sends: s.sends, conn: s.conn}, nil
-}
-
-// sendTrace records the connections on which a transport sends a request.
-type sendTrace struct {
-	mu     sync.Mutex
-	sends  int
-	reused bool
-	conn   net.Conn // the latest; nil: none yet
-}
-
-// gotConn records that the request is about to be sent on a connection.
-func (s *sendTrace) gotConn(info httptrace.GotConnInfo) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.sends++
-	s.reused = info.Reused
-	s.conn = info.Conn
-}
-
 // send sends req and returns the response, whose body is not read yet.
 func send(c *http.Client, req *http.Request) (*Response, error) {
 	res, err := RoundTrip(roundTripper(c.Do), req) //nolint:bodyclose // closed by Response.Close
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -86,11 +86,11 @@
 }
 
 // SendError is a failure to get a response. Sent tells whether a byte of the
-// request may have been sent. Reused and Sends are as in Reply.
+// request may have been sent, Reused whether its connection had served another
+// request before.
 type SendError struct {
 	Sent   bool
 	Reused bool
-	Sends  int
 	Err    error
 }
 
@@ -110,15 +110,6 @@
 	return true
 }
 
-// Sends returns on how many connections the request of err was sent, as in Reply.
-func Sends(err error) int {
-	var s *SendError
-	if errors.As(err, &s) {
-		return s.Sends
-	}
-	return 0
-}
-
 // StatusError is a response with an unexpected status.
 type StatusError struct {
 	Status  int
