--- a/internal/gateway/promises_test.go
+++ b/internal/gateway/promises_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"currantpulley/internal/catalog"
 )
@@ -231,3 +232,17 @@
 		t.Errorf("status %d", status)
 	}
 }
+
+// Guards against a response that hands the connection over to another protocol,
+// which the caller did not ask for, and that never ends.
+func TestSwitchOfProtocolsIsNoResponse(t *testing.T) {
+	u := newRawUpstream(t, func(w io.Writer, r *http.Request, _ int) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 101 x\r\nId: %s\r\nSigned: yes\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n", r.Header.Get("Id"))
+		return true
+	})
+	began := time.Now()
+	status := startRaw(t, u).send(t, http.MethodPost, "/once/", "call")
+	if took := time.Since(began); status != http.StatusBadGateway || took > 500*time.Millisecond {
+		t.Errorf("status %d after %v, want 502 at once", status, took)
+	}
+}
