Answer calls that run at most once when they fail

With a log, the caller of a route that is not repeatable got "200 OK" with an empty body whenever its call failed: when the connection to the service broke, and when the service refused the call.

Cause: idempotency cancels the context that it put into the exchange and left it there, so that account, which comes after it, took every failed call for one whose caller had left, and wrote nothing; nbhttp then sends an empty 200. The contract tests run without a log and so without this filter.

idempotency gives the caller's context back. Ruled out: the capture of the answer, which is put back before account writes.

Evidence: TestFailedCallThatRunsOnceIsNotAnsweredWithSuccess failed before (status 200, no X-Effect, no body, in both cases) and passes now, with -race.

Conclusion: a refusal reaches the caller with its true effect.

--- /dev/null
+++ b/internal/daemon/promises_test.go
@@ -0,0 +1,147 @@
+package daemon
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"currantpulley/internal/fake/fakelog"
+)
+
+// rawUpstream is an upstream that writes its responses byte by byte. It keeps
+// connections open, and each request that it reads has run.
+type rawUpstream struct {
+	address string
+	runs    atomic.Int64 // requests but those for the engine's state and cache events
+	conns   atomic.Int64
+}
+
+// respondFunc answers a request, the number-th on its connection. It returns whether
+// to keep the connection.
+type respondFunc func(w io.Writer, r *http.Request, number int) bool
+
+// newRawUpstream starts an upstream whose responses respond writes.
+func newRawUpstream(t *testing.T, respond respondFunc) *rawUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	u := &rawUpstream{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go u.serve(c, respond)
+		}
+	}()
+	return u
+}
+
+func (u *rawUpstream) serve(c net.Conn, respond respondFunc) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	number := 0
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if strings.HasPrefix(r.URL.Path, "/engine/") {
+			writeRaw(c, http.StatusOK, r.Header.Get("X-Request-Id"), `{"incarnation":"i","weights":{"m":"w1"}}`)
+			continue
+		}
+		number++
+		u.runs.Add(1)
+		if !respond(c, r, number) {
+			return
+		}
+	}
+}
+
+// writeRaw writes a response to the request called id.
+func writeRaw(w io.Writer, status int, id, body string, header ...string) {
+	var h strings.Builder
+	for i := 0; i+1 < len(header); i += 2 {
+		fmt.Fprintf(&h, "%s: %s\r\n", header[i], header[i+1])
+	}
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d x\r\nX-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, h.String(), len(body), body)
+}
+
+// startLoggedDaemon starts a daemon with a log, so that its calls run at most once.
+func startLoggedDaemon(t *testing.T, services ...string) *Daemon {
+	t.Helper()
+	log := httptest.NewServer(fakelog.New())
+	t.Cleanup(log.Close)
+	s := testSettings()
+	s.Platform.Log = log.URL
+	d, err := Start(context.Background(), s, WithConfig(7, testConfig(nil, services)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Kill)
+	return d
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	effect string
+	body   string
+}
+
+// ask sends a request with a body, if there is one, over a connection of its own.
+func ask(t *testing.T, d *Daemon, method, path, body string, header ...string) answer {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+d.Address()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	res, err := (&http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer{status: res.StatusCode, effect: strings.Join(res.Header.Values("X-Effect"), ","), body: string(data)}
+}
+
+// Guards against a call whose failure reaches the caller as an empty success.
+func TestFailedCallThatRunsOnceIsNotAnsweredWithSuccess(t *testing.T) {
+	for name, respond := range map[string]respondFunc{
+		"broken": func(io.Writer, *http.Request, int) bool { return false },
+		"not run": func(w io.Writer, r *http.Request, _ int) bool {
+			writeRaw(w, http.StatusServiceUnavailable, r.Header.Get("X-Request-Id"), "", "X-Effect", "not-run")
+			return true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := startLoggedDaemon(t, newRawUpstream(t, respond).address)
+			got := ask(t, d, http.MethodPost, "/credit", "{}", "Idempotency-Key", "k")
+			want := map[string]string{"broken": "unknown", "not run": "not-run"}[name]
+			if got.status != http.StatusBadGateway || got.effect != want {
+				t.Errorf("%+v, want status 502 and effect %q", got, want)
+			}
+		})
+	}
+}
--- a/internal/filter/idempotency/idempotency.go
+++ b/internal/filter/idempotency/idempotency.go
@@ -49,6 +49,7 @@
 // carries it.
 type activeCall struct {
 	call   *calls.Call
+	caller context.Context // ends when the caller disconnects
 	answer *capture
 	cancel context.CancelFunc
 }
@@ -85,19 +86,21 @@
 	caller := x.Ctx
 	answer := &capture{ResponseWriter: x.Writer}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), callTimeout(x))
-	x.Ctx = context.WithValue(ctx, activeCallKey{}, &activeCall{call: call, answer: answer, cancel: cancel})
+	x.Ctx = context.WithValue(ctx, activeCallKey{}, &activeCall{call: call, caller: caller, answer: answer, cancel: cancel})
 	x.Writer = answer
 	x.BeforeSend = func() error { return call.CheckSend(caller, x.Sent) }
 }
 
 // Response implements pipe.Filter. It records the outcome of a call that was sent
-// and voids the intent of one that was not.
+// and voids the intent of one that was not. Outer filters get the caller's context
+// back, which tells them whether the caller is still there.
 func (f *Filter) Response(x *pipe.Exchange) {
 	r, ok := x.Ctx.Value(activeCallKey{}).(*activeCall)
 	if !ok {
 		return
 	}
 	r.cancel()
+	x.Ctx = r.caller
 	x.Writer = r.answer.ResponseWriter
 	if !x.Sent {
 		r.call.Void()
