Believe nothing of an upstream's response to another request

In the product's own mode calls that must run once ran at each upstream in turn and were refused as not run, because responses of other requests stated "not-run". On a kept connection each repeatable call got the response of the one before, for as long as the connection lived. A stream was given up when a response of another request came in place of its rest, and the state of engines (load, weights, incarnation) could be that of another response.

Cause: Service.Do compared no id, the engine's control calls and Cancel had none, Resume read the status first, and send decoded "not-run" before any comparison. A response of another request was closed as a body, which returns a connection without unread bytes to the pool.

send compares the id before it decodes anything, for every call to engines and services, and discards the connection of a response with another id or none. A "not-run" beside a success or beside another X-Effect is no proof. Plain services and the engines' control paths must return X-Request-Id now; the stand-in of engines returned it on two paths only.

Ruled out: calls that run at most once reusing a connection; they have one each, and still believed what came on it.

--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -236,3 +236,44 @@
 		t.Errorf("the caller got status %d and %d bytes as a complete answer", res.StatusCode, n)
 	}
 }
+
+// Guards against a call that runs twice, or is refused as not run, because a response
+// of another request stated that it had not run.
+func TestNotRunOfAnotherRequestIsNotBelieved(t *testing.T) {
+	foreign := func(w io.Writer, _ *http.Request, _ int) bool {
+		writeRaw(w, http.StatusServiceUnavailable, "somebody-else", "", "X-Effect", "not-run")
+		return true
+	}
+	a, b := newRawUpstream(t, foreign), newRawUpstream(t, foreign)
+	d := startLoggedDaemon(t, a.address, b.address)
+	for try := range 2 { // the second is answered from the record of the first
+		got := ask(t, d, http.MethodPost, "/credit", "{}", "Idempotency-Key", "k")
+		if runs := a.runs.Load() + b.runs.Load(); runs != 1 || got.status != http.StatusBadGateway || got.effect != "unknown" {
+			t.Errorf("try %d: %d runs, %+v", try, runs, got)
+		}
+	}
+}
+
+// Guards against a stream that ends early because a response of another request came
+// in place of its rest.
+func TestStreamIsResumedAfterAnotherRequestsResponse(t *testing.T) {
+	resumes := 0
+	u := newRawUpstream(t, func(w io.Writer, r *http.Request, _ int) bool {
+		id := r.Header.Get("X-Request-Id")
+		events := "id: 1\ndata: {}\n\n"
+		if r.Method == http.MethodGet {
+			resumes++
+			if id = "somebody-else"; resumes > 1 {
+				id = strings.TrimPrefix(r.URL.Path, "/v1/streams/")
+			}
+			events = "id: 2\ndata: [DONE]\n\n"
+		}
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 x\r\nX-Request-Id: %s\r\nContent-Type: text/event-stream\r\n\r\n%s", id, events)
+		return false
+	})
+	d := startDaemon(t, testConfig([]string{u.address}, nil))
+	got := ask(t, d, http.MethodPost, "/v1/completions", contractBody(true))
+	if !strings.Contains(got.body, "[DONE]") {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/fake/fakeengine/engine.go
+++ b/internal/fake/fakeengine/engine.go
@@ -163,6 +163,7 @@
 	if down {
 		fakehttp.Abort()
 	}
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	e.mux.ServeHTTP(w, r)
 }
 
--- a/internal/filter/dispatch/relay.go
+++ b/internal/filter/dispatch/relay.go
@@ -93,7 +93,7 @@
 			return upstream.Event{}, err
 		}
 		response, err := f.Engine.Resume(o.ctx, a.Choice.Upstream.Address, a.RequestID, last)
-		if errors.Is(err, upstream.ErrStreamNotFound) || errors.Is(err, upstream.ErrWrongRequestID) {
+		if errors.Is(err, upstream.ErrStreamNotFound) {
 			return upstream.Event{}, err
 		}
 		if err != nil {
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -31,11 +32,11 @@
 const maxControlBytes = 4 << 20
 
 // HTTPEngine implements Engine with the HTTP/1.1 API described in docs/API.md.
-type HTTPEngine struct{ client *http.Client }
+type HTTPEngine struct{ transport http.RoundTripper }
 
 // NewHTTPEngine returns an HTTPEngine that sends its requests over transport.
 func NewHTTPEngine(transport http.RoundTripper) *HTTPEngine {
-	return &HTTPEngine{client: newClient(transport)}
+	return &HTTPEngine{transport: transport}
 }
 
 // Open implements Engine.
@@ -45,27 +46,21 @@
 		return nil, &SendError{Err: err}
 	}
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(HeaderRequestID, r.ID)
 	req.Header.Set(HeaderSalt, r.Salt)
 	req.Header.Set(HeaderPriority, strconv.Itoa(r.Priority))
 	if r.Weights != "" {
 		req.Header.Set(HeaderExpectWeights, r.Weights)
 	}
-	res, err := send(e.client, req)
+	res, err := send(e.transport, req, r.ID)
 	if err != nil {
 		return nil, err
 	}
-	return checkResponse(res, r.ID, r.Weights, 0)
+	return checkResponse(res, r.Weights, 0)
 }
 
-// checkResponse checks that res belongs to request id and was computed with the
-// expected weights, and turns the body of a stream into events after the event
-// numbered after.
-func checkResponse(res *Response, id, weights string, after uint64) (*Response, error) {
-	if got := res.Header.Get(HeaderRequestID); got != id {
-		res.Close()
-		return nil, &SendError{Sent: true, Err: fmt.Errorf("%w: %q instead of %q", ErrWrongRequestID, got, id)}
-	}
+// checkResponse checks that res was computed with the expected weights, and turns the
+// body of a stream into events after the event numbered after.
+func checkResponse(res *Response, weights string, after uint64) (*Response, error) {
 	if res.Status != http.StatusOK {
 		return res, nil
 	}
@@ -87,7 +82,7 @@
 		return nil, &SendError{Err: err}
 	}
 	req.Header.Set(headerLastEvent, strconv.FormatUint(after, 10))
-	res, err := send(e.client, req)
+	res, err := send(e.transport, req, id)
 	if err != nil {
 		return nil, err
 	}
@@ -95,7 +90,7 @@
 		res.Close()
 		return nil, fmt.Errorf("%w: status %d", ErrStreamNotFound, res.Status)
 	}
-	return checkResponse(res, id, "", after)
+	return checkResponse(res, "", after)
 }
 
 // Cancel implements Engine.
@@ -104,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := send(e.client, req)
+	res, err := send(e.transport, req, id)
 	if err != nil {
 		return err
 	}
@@ -141,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := send(e.client, req)
+	res, err := send(e.transport, req, rand.Text())
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/upstream/ownership_test.go
@@ -0,0 +1,186 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// testTimeout bounds each request of a test.
+const testTimeout = 10 * time.Second
+
+// rawUpstream is an upstream that writes its responses byte by byte and keeps its
+// connections open.
+type rawUpstream struct {
+	address string
+	conns   atomic.Int64
+	runs    atomic.Int64
+}
+
+// newRawUpstream starts an upstream whose respond gets each request with its number
+// on its connection, from 1 on. The connection is closed when respond returns false.
+func newRawUpstream(t *testing.T, respond func(w io.Writer, r *http.Request, number int) bool) *rawUpstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	u := &rawUpstream{address: l.Addr().String()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.conns.Add(1)
+			go u.serve(c, respond)
+		}
+	}()
+	return u
+}
+
+func (u *rawUpstream) serve(c net.Conn, respond func(w io.Writer, r *http.Request, number int) bool) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for number := 1; ; number++ {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		u.runs.Add(1)
+		if !respond(c, r, number) {
+			return
+		}
+	}
+}
+
+// writeRaw writes a response without a body that names request id, unless it is
+// empty, and has the given further header lines.
+func writeRaw(w io.Writer, status int, id string, header string) {
+	if id != "" {
+		header = "X-Request-Id: " + id + "\r\n" + header
+	}
+	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d x\r\n%sContent-Length: 0\r\n\r\n", status, header)
+}
+
+// sender sends request id to an upstream in one of the ways of this package.
+type sender func(ctx context.Context, address, id string) (*Response, error)
+
+func senders() map[string]sender {
+	engine := NewHTTPEngine(NewTransport())
+	service := NewService(NewTransport(), NewOnceTransport())
+	call := func(repeatable bool) sender {
+		return func(ctx context.Context, address, id string) (*Response, error) {
+			return service.Do(ctx, address, ServiceRequest{ID: id, Method: http.MethodPost, Path: "/p", Header: http.Header{}, Repeatable: repeatable})
+		}
+	}
+	return map[string]sender{
+		"repeatable call": call(true),
+		"call once":       call(false),
+		"open": func(ctx context.Context, address, id string) (*Response, error) {
+			return engine.Open(ctx, address, Request{ID: id, Path: "/v1/completions"})
+		},
+		"resume": func(ctx context.Context, address, id string) (*Response, error) {
+			return engine.Resume(ctx, address, id, 1)
+		},
+		"state": func(ctx context.Context, address, _ string) (*Response, error) {
+			_, err := engine.State(ctx, address)
+			return nil, err
+		},
+		"order": func(ctx context.Context, address, _ string) (*Response, error) {
+			_, err := engine.Order(ctx, address, Order{})
+			return nil, err
+		},
+		"cancel": func(ctx context.Context, address, id string) (*Response, error) {
+			return nil, engine.Cancel(ctx, address, id)
+		},
+	}
+}
+
+// Guards against a status or a statement that is believed although its response
+// belongs to another request, or names none.
+func TestNothingOfAnotherRequestsResponseIsBelieved(t *testing.T) {
+	for name, send := range senders() {
+		for _, owner := range []string{"somebody-else", ""} {
+			for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusPreconditionFailed, http.StatusServiceUnavailable} {
+				u := newRawUpstream(t, func(w io.Writer, _ *http.Request, _ int) bool {
+					writeRaw(w, status, owner, "X-Effect: not-run\r\n")
+					return true
+				})
+				ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+				res, err := send(ctx, u.address, "mine")
+				cancel()
+				if !errors.Is(err, ErrWrongRequestID) || !Sent(err) {
+					t.Errorf("%s: status %d of %q gave %+v and error %v", name, status, owner, res, err)
+				}
+			}
+		}
+	}
+}
+
+// Guards against the responses of one connection being taken for those of the
+// requests before, one after the other, once an extra response came.
+func TestConnectionWithAnotherRequestsResponseIsNotUsedAgain(t *testing.T) {
+	for _, name := range []string{"repeatable call", "open"} {
+		send := senders()[name]
+		u := newRawUpstream(t, func(w io.Writer, r *http.Request, number int) bool {
+			id := r.Header.Get("X-Request-Id")
+			if number > 1 {
+				id = "the-one-before"
+			}
+			writeRaw(w, http.StatusOK, id, "")
+			return true
+		})
+		var failed []bool
+		for i := range 4 {
+			res, err := send(t.Context(), u.address, fmt.Sprint("call-", i))
+			failed = append(failed, err != nil)
+			if err == nil {
+				_, _ = io.Copy(io.Discard, res.Body)
+				res.Close()
+			}
+		}
+		if want := []bool{false, true, false, true}; fmt.Sprint(failed) != fmt.Sprint(want) || u.conns.Load() != 2 {
+			t.Errorf("%s: failed %v over %d connections, want %v over 2", name, failed, u.conns.Load(), want)
+		}
+	}
+}
+
+// Guards against statements that contradict themselves being taken for a proof that
+// a request did not run.
+func TestContradictoryNotRunIsNoProof(t *testing.T) {
+	for name, c := range map[string]struct {
+		status int
+		header string
+		notRun bool
+	}{
+		"refusal":           {http.StatusServiceUnavailable, "X-Effect: not-run\r\n", true},
+		"success":           {http.StatusOK, "X-Effect: not-run\r\n", false},
+		"two statements":    {http.StatusServiceUnavailable, "X-Effect: not-run\r\nX-Effect: unknown\r\n", false},
+		"without statement": {http.StatusServiceUnavailable, "", false},
+	} {
+		u := newRawUpstream(t, func(w io.Writer, r *http.Request, _ int) bool {
+			writeRaw(w, c.status, r.Header.Get("X-Request-Id"), c.header)
+			return true
+		})
+		for _, sender := range []string{"repeatable call", "call once", "open"} {
+			res, err := senders()[sender](t.Context(), u.address, "mine")
+			if err != nil {
+				t.Fatal(err)
+			}
+			res.Close()
+			if res.NotRun != c.notRun {
+				t.Errorf("%s, %s: NotRun is %v", name, sender, res.NotRun)
+			}
+		}
+	}
+}
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -20,14 +20,14 @@
 
 // Service sends requests to plain services.
 type Service struct {
-	repeatable *http.Client
-	once       *http.Client
+	repeatable http.RoundTripper
+	once       http.RoundTripper
 }
 
 // NewService returns a Service with one transport for repeatable requests and
 // one for requests that run at most once.
 func NewService(repeatable, once http.RoundTripper) *Service {
-	return &Service{repeatable: newClient(repeatable), once: newClient(once)}
+	return &Service{repeatable: repeatable, once: once}
 }
 
 // Do sends r to address. Call Sent on its error to learn whether a byte of the
@@ -46,10 +46,9 @@
 		return nil, &SendError{Err: err}
 	}
 	req.Header = r.Header.Clone()
-	req.Header.Set(HeaderRequestID, r.ID)
-	client := s.repeatable
+	transport := s.repeatable
 	if !r.Repeatable {
-		client = s.once
+		transport = s.once
 	}
-	return send(client, req)
+	return send(transport, req, r.ID)
 }
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -2,15 +2,12 @@
 
 import (
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"currantpulley/internal/snapshot"
 )
 
 const (
@@ -64,45 +61,3 @@
 	t.DisableKeepAlives = true
 	return t
 }
-
-// newClient returns a client that does not follow redirects.
-func newClient(t http.RoundTripper) *http.Client {
-	return &http.Client{
-		Transport:     t,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}
-}
-
-// send sends req and returns the response, whose body is not read yet.
-func send(c *http.Client, req *http.Request) (*Response, error) {
-	res, err := RoundTrip(roundTripper(c.Do), req) //nolint:bodyclose // closed by Response.Close
-	if err != nil {
-		return nil, err
-	}
-	return &Response{
-		Status:      res.StatusCode,
-		Header:      res.Header,
-		Incarnation: res.Header.Get(HeaderIncarnation),
-		Weights:     res.Header.Get(HeaderWeights),
-		Load:        parseLoad(res.Header.Get(HeaderLoad)),
-		NotRun:      res.Header.Get(HeaderEffect) == effectNotRun,
-		Body:        res.Body,
-	}, nil
-}
-
-// parseLoad parses "running=N queued=N queued_tokens=N". It returns nil when s is
-// malformed.
-func parseLoad(s string) *snapshot.Load {
-	l := snapshot.Load{At: time.Now()}
-	n, err := fmt.Sscanf(s, "running=%d queued=%d queued_tokens=%d", &l.Running, &l.Queued, &l.QueuedTokens)
-	if err != nil || n != 3 {
-		return nil
-	}
-	return &l
-}
-
-// roundTripper adapts http.Client.Do to http.RoundTripper.
-type roundTripper func(*http.Request) (*http.Response, error)
-
-// RoundTrip implements http.RoundTripper.
-func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
