State no effect that only an upstream's status promises

Callers of calls that ran got 408, 421, 429 and 503 of the plain service, which callers take for "not run", and even X-Effect: not-run if the service wrote it in a way that is no proof (another case, or beside another X-Effect). A 421 of an engine reached callers too.

Cause: relayCall relays every status and header field of a service.

X-Effect is the daemon's own statement now. On routes that are not repeatable these four statuses become upstream_failed with the effect unknown, which is also recorded for the idempotency key. On repeatable routes they are passed on, as a repeat does no harm there and callers need a service's 429 and its Retry-After, with X-Effect: unknown.

Evidence: TestPromiseWithoutProofIsNotPassedOn failed before in 27 of 36 cases (12 for each kind of route; the engine's in 3).

--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -277,3 +277,30 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// Guards against a call that ran and whose caller is told that it did not, since the
+// upstream's own failure has a status, or a statement of its own wording, that says so.
+func TestPromiseWithoutProofIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, c := range []struct {
+			path   string
+			status int
+			effect string
+		}{
+			{"/credit", http.StatusBadGateway, "unknown"},
+			{"/stock", status, "unknown"},
+			{"/v1/completions", http.StatusBadGateway, "unknown"},
+		} {
+			for _, statement := range []string{"", "Not-Run", "unknown\r\nX-Effect: not-run"} {
+				u := newRawUpstream(t, func(w io.Writer, r *http.Request, _ int) bool {
+					writeRaw(w, status, r.Header.Get("X-Request-Id"), "failed", "X-Effect", statement, "Retry-After", "1")
+					return true
+				})
+				d := startDaemon(t, testConfig([]string{u.address}, []string{u.address}))
+				if got := ask(t, d, http.MethodPost, c.path, contractBody(false)); got.status != c.status || got.effect != c.effect {
+					t.Errorf("%s: status %d with statement %q became %+v", c.path, status, statement, got)
+				}
+			}
+		}
+	}
+}
--- a/internal/filter/dispatch/call.go
+++ b/internal/filter/dispatch/call.go
@@ -10,6 +10,7 @@
 	"currantpulley/internal/failure"
 	"currantpulley/internal/hop"
 	"currantpulley/internal/pipe"
+	"currantpulley/internal/refusal"
 	"currantpulley/internal/upstream"
 )
 
@@ -71,7 +72,8 @@
 }
 
 // attemptCall sends the call to one upstream. It returns an error also when the
-// service states that it did not run the call.
+// service states that it did not run the call, and when the status of a call that
+// must not be repeated says so without that statement.
 func (f *Filter) attemptCall(ctx context.Context, x *pipe.Exchange, choice pipe.Choice, number int) (*upstream.Response, *pipe.Attempt, error) {
 	a := &pipe.Attempt{Exchange: x, Choice: choice, Number: number, RequestID: attemptID(x, number, false)}
 	x.Attempts = append(x.Attempts, a)
@@ -93,6 +95,10 @@
 		return nil, a, failure.At("call", choice.Upstream.Name, &upstream.StatusError{Status: response.Status, Message: "refused by the service"})
 	}
 	x.Sent = true
+	if !x.Route.Repeatable && impliesNotRun(response.Status) {
+		response.Close()
+		return nil, a, failure.At("call", choice.Upstream.Name, &upstream.StatusError{Status: response.Status, Message: "the service may have run the call"})
+	}
 	notifyFirstToken(x, a)
 	return response, a, nil
 }
@@ -110,6 +116,10 @@
 		h[name] = values
 	}
 	h.Set(upstream.HeaderRequestID, x.VisibleID())
+	h.Del(upstream.HeaderEffect)
+	if impliesNotRun(response.Status) {
+		h.Set(upstream.HeaderEffect, string(refusal.Unknown))
+	}
 	if len(head) < bufferedAnswerMax {
 		h.Set("Content-Length", strconv.Itoa(len(head)))
 	}
