Test that no request of this mode is sent twice by the transport

Repeatable calls of plain services reached their service twice, unseen by the retry budget, when a kept connection closed after they were written: GET, OPTIONS, and POST with Idempotency-Key or X-Idempotency-Key, also with a body, because http.NewRequest sets GetBody for a bytes.Reader. "Send each request on one connection only" forbids it; every request of HTTPEngine and Service takes that way.

Calls that run once and requests that open a stream were not resent there either: the first have a connection each, the second carry no field of the caller's.

--- a/internal/upstream/ownership_test.go
+++ b/internal/upstream/ownership_test.go
@@ -184,3 +184,55 @@
 		}
 	}
 }
+
+// Guards against requests that net/http sends again, unseen by the retry budget and by
+// calls that run at most once, when a kept connection closes after they were written.
+func TestNoRequestIsSentTwiceByTheTransport(t *testing.T) {
+	engine := NewHTTPEngine(NewTransport())
+	service := NewService(NewTransport(), NewOnceTransport())
+	call := func(repeatable bool, method, key, body string) sender {
+		return func(ctx context.Context, address, id string) (*Response, error) {
+			r := ServiceRequest{ID: id, Method: method, Path: "/p", Header: http.Header{}, Body: []byte(body), Repeatable: repeatable}
+			if key != "" {
+				r.Header.Set(key, "1")
+			}
+			return service.Do(ctx, address, r)
+		}
+	}
+	for name, send := range map[string]sender{
+		"GET":                      call(true, http.MethodGet, "", ""),
+		"OPTIONS":                  call(true, http.MethodOptions, "", ""),
+		"POST, key":                call(true, http.MethodPost, "Idempotency-Key", ""),
+		"POST, key and body":       call(true, http.MethodPost, "Idempotency-Key", "{}"),
+		"POST, other key and body": call(true, http.MethodPost, "X-Idempotency-Key", "{}"),
+		"once, GET":                call(false, http.MethodGet, "", ""),
+		"once, POST, key and body": call(false, http.MethodPost, "Idempotency-Key", "{}"),
+		"once, POST, other key":    call(false, http.MethodPost, "X-Idempotency-Key", ""),
+		"open": func(ctx context.Context, address, id string) (*Response, error) {
+			return engine.Open(ctx, address, Request{ID: id, Path: "/v1/completions", Body: []byte("{}")})
+		},
+		"resume": func(ctx context.Context, address, id string) (*Response, error) {
+			return engine.Resume(ctx, address, id, 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newRawUpstream(t, func(w io.Writer, r *http.Request, number int) bool {
+				if r.Header.Get("X-Request-Id") != "first" {
+					return false
+				}
+				writeRaw(w, http.StatusOK, "first", "")
+				return number == 1
+			})
+			res, err := send(t.Context(), u.address, "first")
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, res.Body)
+			res.Close()
+			_, err = send(t.Context(), u.address, "second")
+			if err == nil || !Sent(err) || u.runs.Load() != 2 {
+				t.Errorf("error %v after %d requests, want 2", err, u.runs.Load())
+			}
+		})
+	}
+}
