Read no attempt that is still in flight for a refusal

When the answer of the winner of a hedged race broke off, the refusal was made from all attempts, also from the loser, whose goroutine still wrote to it.

Cause: relayBody and copyBody used failureRefusal, which asks whether every attempt is known not to have run. An answer that has begun settles that: the effect is unknown. brokenAnswer says so without reading other attempts.

Ruled out: x.Attempts is appended by one goroutine only; the refusal after both attempts of a race failed reads them after both ended; x.Sent is set by the same goroutine and not read for model requests.

Conclusion: no refusal rests on a value that is not decided yet.

--- a/internal/filter/dispatch/call.go
+++ b/internal/filter/dispatch/call.go
@@ -109,7 +109,7 @@
 	peer := a.Choice.Upstream.Name
 	head, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswerMax))
 	if err != nil {
-		return failureRefusal(x, failure.At("read answer", peer, err))
+		return brokenAnswer(x, failure.At("read answer", peer, err))
 	}
 	h := x.Writer.Header()
 	for name, values := range endToEnd(response.Header) {
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -101,6 +101,8 @@
 	return r
 }
 
+// noneRan reports whether every attempt is known not to have run. It may be called
+// only when none is in flight.
 func noneRan(x *pipe.Exchange) bool {
 	for _, a := range x.Attempts {
 		if !a.NotRun {
--- /dev/null
+++ b/internal/filter/dispatch/dispatch_test.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"currantpulley/internal/config"
+	"currantpulley/internal/event"
+	"currantpulley/internal/pipe"
+	"currantpulley/internal/prompt"
+	"currantpulley/internal/refusal"
+	"currantpulley/internal/snapshot"
+	"currantpulley/internal/upstream"
+)
+
+// countingBudget allows everything and counts it.
+type countingBudget struct{ balance atomic.Int64 }
+
+func (b *countingBudget) Deposit(share float64) { b.balance.Add(int64(share)) }
+func (b *countingBudget) Allow() bool           { b.balance.Add(-1); return true }
+
+// taken returns how many attempts were taken and not given back.
+func (b *countingBudget) taken() int64 { return -b.balance.Load() }
+
+// listPicker picks the first upstream of a list that was not tried.
+type listPicker struct {
+	addresses  []string
+	hedgeAfter time.Duration
+}
+
+func (p listPicker) Pick(_ context.Context, _ *pipe.Exchange, tried []string) (pipe.Choice, error) {
+	for _, a := range p.addresses {
+		if !slices.Contains(tried, a) {
+			u := &snapshot.Upstream{Upstream: &config.Upstream{Name: a, Address: a}}
+			return pipe.Choice{Upstream: u, Weights: "w1", HedgeAfter: p.hedgeAfter}, nil
+		}
+	}
+	return pipe.Choice{}, refusal.New(refusal.NoUpstream, "none is left")
+}
+
+// fixture is a dispatch filter with budgets that count.
+type fixture struct {
+	*Filter
+	retries, hedges countingBudget
+}
+
+func newFixture() *fixture {
+	f := &fixture{}
+	f.Filter = New(Options{
+		Engine:   upstream.NewHTTPEngine(upstream.NewTransport()),
+		Service:  upstream.NewService(upstream.NewTransport(), upstream.NewOnceTransport()),
+		Retries:  &f.retries,
+		Hedges:   &f.hedges,
+		Recorder: event.Discard{},
+	})
+	return f
+}
+
+// newExchange returns a model request that may be sent to the upstreams of p.
+func newExchange(t *testing.T, p listPicker) *pipe.Exchange {
+	return &pipe.Exchange{
+		Ctx: t.Context(), ID: "x", Arrived: time.Now(), Deadline: time.Now().Add(10 * time.Second), Method: http.MethodPost,
+		Path: "/v1/completions", Header: http.Header{}, Writer: httptest.NewRecorder(), Body: []byte("{}"), Picker: p,
+		Workspace: &config.Workspace{Name: "w"}, Model: &config.Model{Name: "m", Weights: "w1"}, Prompt: &prompt.Prompt{},
+		Snap: &snapshot.Snapshot{Config: &config.Config{
+			Retry:  config.Retry{AttemptsMax: 3},
+			Caller: config.CallerLimits{DeadlineMax: config.Duration(10 * time.Second)},
+		}},
+	}
+}
+
+// serve starts an upstream and returns its address.
+func serve(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
+		h(w, r)
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// Guards against a data race on the attempts: the answer of the winner of a race
+// breaks while the loser is still being given up.
+func TestBrokenAnswerOfWinnerDoesNotReadTheLoser(t *testing.T) {
+	for range 20 {
+		begun := make(chan struct{})
+		slow := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			select {
+			case <-begun:
+			case <-r.Context().Done():
+			}
+			w.WriteHeader(http.StatusInternalServerError)
+		})
+		cut := serve(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method != http.MethodPost {
+				return
+			}
+			w.Header().Set("Content-Length", "100")
+			_, _ = fmt.Fprint(w, "{")
+			w.(http.Flusher).Flush()
+			close(begun)
+			panic(http.ErrAbortHandler)
+		})
+		x := newExchange(t, listPicker{addresses: []string{slow, cut}, hedgeAfter: time.Millisecond})
+		err := newFixture().Request(x)
+		if r := refusal.From(err); err == nil || r.Effect != refusal.Unknown {
+			t.Fatalf("error %v", err)
+		}
+	}
+}
--- a/internal/filter/dispatch/relay.go
+++ b/internal/filter/dispatch/relay.go
@@ -212,7 +212,7 @@
 func (f *Filter) relayBody(x *pipe.Exchange, o *openedAttempt) error {
 	head, err := io.ReadAll(io.LimitReader(o.response.Body, bufferedAnswerMax))
 	if err != nil {
-		return failureRefusal(x, failure.At("read answer", o.attempt.Choice.Upstream.Name, err))
+		return brokenAnswer(x, failure.At("read answer", o.attempt.Choice.Upstream.Name, err))
 	}
 	setAnswerHeader(x, o.response.Header.Get("Content-Type"))
 	if len(head) < bufferedAnswerMax {
@@ -243,7 +243,16 @@
 		}
 		if err != nil {
 			x.Abort()
-			return failureRefusal(x, failure.At("relay", peer, err))
+			return brokenAnswer(x, failure.At("relay", peer, err))
 		}
 	}
 }
+
+// brokenAnswer converts an error of reading an answer that had begun into a refusal.
+// Its request may have run, and other attempts may still be in flight.
+func brokenAnswer(x *pipe.Exchange, err error) error {
+	if x.Ctx.Err() != nil {
+		return x.Ctx.Err()
+	}
+	return refusal.NewUnknown(refusal.UpstreamFailed, err, "the answer broke off")
+}
