Charge the repeat of a request that ran with other weights

A service got far more repeats than the retry budget allows from an engine that answers with other weights than it was asked for: one request was sent 106 times in 3 s.

Cause: after a refusal for stale weights a request is sent again without a charge, since it has not run. An answer with status 200 and another weights version has the same error, though the engine ran the request, and so had the failure of a hedge beside an attempt that may have run.

Only attempts that are all known not to have run are repeated without a charge.

--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -95,16 +95,16 @@
 		code, message = refusal.DeadlineExceeded, "no token came within the deadline"
 	}
 	r := refusal.NewUnknown(code, err, "%s", message)
-	if noneRan(x) {
+	if noneRan(x.Attempts) {
 		r.Effect = refusal.NotRun
 	}
 	return r
 }
 
-// noneRan reports whether every attempt is known not to have run. It may be called
-// only when none is in flight.
-func noneRan(x *pipe.Exchange) bool {
-	for _, a := range x.Attempts {
+// noneRan reports whether all attempts are known not to have run. None may be in
+// flight.
+func noneRan(attempts []*pipe.Attempt) bool {
+	for _, a := range attempts {
 		if !a.NotRun {
 			return false
 		}
--- a/internal/filter/dispatch/dispatch_test.go
+++ b/internal/filter/dispatch/dispatch_test.go
@@ -117,3 +117,40 @@
 		}
 	}
 }
+
+// Guards against repeats beyond the retry budget of a request that an engine ran with
+// other weights than it was asked for.
+func TestRunWithOtherWeightsIsChargedToTheBudget(t *testing.T) {
+	var runs atomic.Int64
+	engine := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.Header().Set(upstream.HeaderWeights, "w0")
+		_, _ = fmt.Fprint(w, "{}")
+	})
+	f := newFixture()
+	err := f.Request(newExchange(t, listPicker{addresses: []string{engine}}))
+	if r := refusal.From(err); err == nil || r.Effect != refusal.Unknown {
+		t.Errorf("error %v", err)
+	}
+	if repeats := runs.Load() - 1; repeats > f.retries.taken() {
+		t.Errorf("%d repeats, %d taken from the budget", repeats, f.retries.taken())
+	}
+}
+
+// An engine that proves that it refused a request for its weights is tried again
+// without a charge, until it has them.
+func TestRefusalForOtherWeightsIsNotCharged(t *testing.T) {
+	var requests atomic.Int64
+	engine := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		if requests.Add(1) < 5 {
+			w.Header().Set(upstream.HeaderEffect, "not-run")
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+		_, _ = fmt.Fprint(w, "{}")
+	})
+	f := newFixture()
+	if err := f.Request(newExchange(t, listPicker{addresses: []string{engine}})); err != nil || f.retries.taken() != 0 {
+		t.Errorf("error %v, %d taken from the budget", err, f.retries.taken())
+	}
+}
--- a/internal/filter/dispatch/generate.go
+++ b/internal/filter/dispatch/generate.go
@@ -48,11 +48,12 @@
 		if o.err == nil {
 			return f.relay(x, o)
 		}
-		for _, a := range x.Attempts[firstIndex:] {
+		failed := x.Attempts[firstIndex:]
+		for _, a := range failed {
 			tried = append(tried, a.Choice.Upstream.Name)
 		}
 		lastErr = o.err
-		if stale.observe(lastErr) {
+		if stale.observe(lastErr, failed) {
 			continue
 		}
 		if errors.Is(lastErr, errAnswerDeadline) || !f.mayRetry(x, number) {
--- a/internal/filter/dispatch/stale.go
+++ b/internal/filter/dispatch/stale.go
@@ -19,10 +19,11 @@
 // retries are not charged to the retry budget.
 type staleRetry struct{ firstStaleAt time.Time }
 
-// observe reports whether err is such a refusal and staleTimeout has not passed
-// since the first one.
-func (s *staleRetry) observe(err error) bool {
-	if !errors.Is(err, upstream.ErrWrongWeights) {
+// observe reports whether err, with which attempts ended, is such a refusal and
+// staleTimeout has not passed since the first one. An engine that computed an answer
+// with other weights ran the request, which is a failure like any other.
+func (s *staleRetry) observe(err error, attempts []*pipe.Attempt) bool {
+	if !errors.Is(err, upstream.ErrWrongWeights) || !noneRan(attempts) {
 		return false
 	}
 	if s.firstStaleAt.IsZero() {
