Take no retry from the budget after a route's timeout

A call to a plain service that ended with its route's timeout took up to two retries from the budget that could not be sent any more. Services in trouble used up the budget of all others in that way.

Cause: mayRetry asked whether the caller's context had ended, and not that of the call, which has the route's timeout.

Ruled out: a second send after the timeout; the transport refuses it, before and after.

Evidence: TestNoRetryIsTakenAfterTheRoutesTimeout failed before (2 taken from the budget) and passes now.

Conclusion: the budget pays for requests that are sent.

--- a/internal/filter/dispatch/call.go
+++ b/internal/filter/dispatch/call.go
@@ -56,7 +56,7 @@
 		f.record(event.AttemptFailed, a, err)
 		tried = append(tried, choice.Upstream.Name)
 		lastErr = err
-		if (!x.Route.Repeatable && !a.NotRun) || !f.mayRetry(x, number) {
+		if (!x.Route.Repeatable && !a.NotRun) || !f.mayRetry(ctx, x, number) {
 			return failureRefusal(x, lastErr)
 		}
 	}
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -78,10 +78,10 @@
 	}
 }
 
-// mayRetry reports whether another attempt may follow attempt number. If so, it
-// takes one from the retry budget.
-func (f *Filter) mayRetry(x *pipe.Exchange, number int) bool {
-	return x.Ctx.Err() == nil && number < x.Snap.Config.Retry.AttemptsMax && f.Retries.Allow()
+// mayRetry reports whether another attempt may follow attempt number before ctx ends.
+// If so, it takes one from the retry budget.
+func (f *Filter) mayRetry(ctx context.Context, x *pipe.Exchange, number int) bool {
+	return ctx.Err() == nil && number < x.Snap.Config.Retry.AttemptsMax && f.Retries.Allow()
 }
 
 // failureRefusal converts the error of the last attempt into a refusal. Its effect
--- a/internal/filter/dispatch/dispatch_test.go
+++ b/internal/filter/dispatch/dispatch_test.go
@@ -154,3 +154,19 @@
 		t.Errorf("error %v, %d taken from the budget", err, f.retries.taken())
 	}
 }
+
+// Guards against a budget that is used up by retries after the route's timeout, which
+// can't be sent.
+func TestNoRetryIsTakenAfterTheRoutesTimeout(t *testing.T) {
+	stop := make(chan struct{})
+	silent := func(http.ResponseWriter, *http.Request) { <-stop }
+	services := []string{serve(t, silent), serve(t, silent), serve(t, silent)}
+	t.Cleanup(func() { close(stop) })
+	x := newExchange(t, listPicker{addresses: services})
+	x.Route = &config.Route{Name: "r", Repeatable: true, Timeout: config.Duration(100 * time.Millisecond)}
+	f := newFixture()
+	err := f.Request(x)
+	if r := refusal.From(err); err == nil || r.Effect != refusal.Unknown || f.retries.taken() != 0 {
+		t.Errorf("error %v, %d taken from the budget", err, f.retries.taken())
+	}
+}
--- a/internal/filter/dispatch/generate.go
+++ b/internal/filter/dispatch/generate.go
@@ -56,7 +56,7 @@
 		if stale.observe(lastErr, failed) {
 			continue
 		}
-		if errors.Is(lastErr, errAnswerDeadline) || !f.mayRetry(x, number) {
+		if errors.Is(lastErr, errAnswerDeadline) || !f.mayRetry(x.Ctx, x, number) {
 			return failureRefusal(x, lastErr)
 		}
 		f.record(event.AttemptRetried, o.attempt, lastErr)
