Give retries and hedges that are not made back to their budgets

A request whose service has no other upstream took a retry or a hedge from the budget that all services of a daemon share, and made none. One service with a single upstream in trouble used up the retries of the others.

Cause: dispatch takes the attempt before it picks its upstream, and a pick may find none.

It is given back now. A retry stays taken across refusals for stale weights, which are not charged, until it is made. Ruled out: to pick first; a pick changes what the scheduler expects of the upstream.

Evidence: TestHedgeWithoutUpstreamIsNotCharged and TestRetryWithoutUpstreamIsNotCharged failed before (1 taken from the budget each, for model requests and calls).

Conclusion: the budgets pay for requests that are sent.

--- a/internal/filter/dispatch/call.go
+++ b/internal/filter/dispatch/call.go
@@ -39,10 +39,11 @@
 	var lastErr error
 	for number := 1; ; number++ {
 		choice, err := pickNext(ctx, x, tried, lastErr)
-		if err != nil {
-			return err
+		if err == nil {
+			err = checkBeforeSend(x)
 		}
-		if err := checkBeforeSend(x); err != nil {
+		if err != nil {
+			f.returnRetry(number > 1)
 			return err
 		}
 		response, a, err := f.attemptCall(ctx, x, choice, number)
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -19,7 +19,8 @@
 
 // Budget limits the rate of further attempts, like a token bucket.
 type Budget interface {
-	// Deposit adds the given fraction of an attempt. It is called once per request.
+	// Deposit adds the given fraction of an attempt. It is called once per request, and
+	// with a whole attempt for one that was allowed and not made.
 	Deposit(share float64)
 	// Allow takes one attempt from the budget and reports whether there was one.
 	Allow() bool
@@ -84,6 +85,14 @@
 	return ctx.Err() == nil && number < x.Snap.Config.Retry.AttemptsMax && f.Retries.Allow()
 }
 
+// returnRetry gives a retry that was taken from the budget, if charged, back to it,
+// since it is not made.
+func (f *Filter) returnRetry(charged bool) {
+	if charged {
+		f.Retries.Deposit(1)
+	}
+}
+
 // failureRefusal converts the error of the last attempt into a refusal. Its effect
 // is not-run only when every attempt is known not to have run.
 func failureRefusal(x *pipe.Exchange, err error) error {
--- a/internal/filter/dispatch/dispatch_test.go
+++ b/internal/filter/dispatch/dispatch_test.go
@@ -170,3 +170,30 @@
 		t.Errorf("error %v, %d taken from the budget", err, f.retries.taken())
 	}
 }
+
+// Guards against a hedge that is charged although no upstream was left for it.
+func TestHedgeWithoutUpstreamIsNotCharged(t *testing.T) {
+	engine := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(50 * time.Millisecond)
+		_, _ = fmt.Fprint(w, "{}")
+	})
+	f := newFixture()
+	err := f.Request(newExchange(t, listPicker{addresses: []string{engine}, hedgeAfter: time.Millisecond}))
+	if err != nil || f.hedges.taken() != 0 {
+		t.Errorf("error %v, %d taken from the budget", err, f.hedges.taken())
+	}
+}
+
+// Guards against a retry that is charged although no upstream was left for it.
+func TestRetryWithoutUpstreamIsNotCharged(t *testing.T) {
+	broken := serve(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	for name, route := range map[string]*config.Route{"model": nil, "call": {Name: "r", Repeatable: true}} {
+		x := newExchange(t, listPicker{addresses: []string{broken}})
+		x.Route = route
+		f := newFixture()
+		err := f.Request(x)
+		if r := refusal.From(err); err == nil || r.Effect != refusal.Unknown || f.retries.taken() != 0 {
+			t.Errorf("%s: error %v, %d taken from the budget", name, err, f.retries.taken())
+		}
+	}
+}
--- a/internal/filter/dispatch/generate.go
+++ b/internal/filter/dispatch/generate.go
@@ -34,6 +34,7 @@
 	var tried []string
 	var lastErr error
 	var stale staleRetry
+	charged := false // a retry was taken from the budget and not made yet
 	for number := 1; ; number++ {
 		choice, err := pickNext(x.Ctx, x, tried, lastErr)
 		if err != nil {
@@ -41,6 +42,7 @@
 				tried = nil
 				continue
 			}
+			f.returnRetry(charged)
 			return err
 		}
 		firstIndex := len(x.Attempts)
@@ -56,7 +58,8 @@
 		if stale.observe(lastErr, failed) {
 			continue
 		}
-		if errors.Is(lastErr, errAnswerDeadline) || !f.mayRetry(x.Ctx, x, number) {
+		charged = !errors.Is(lastErr, errAnswerDeadline) && f.mayRetry(x.Ctx, x, number)
+		if !charged {
 			return failureRefusal(x, lastErr)
 		}
 		f.record(event.AttemptRetried, o.attempt, lastErr)
@@ -106,6 +109,7 @@
 	defer cancel()
 	choice, err := x.Picker.Pick(ctx, x, tried)
 	if err != nil {
+		f.Hedges.Deposit(1) // the hedge that was allowed is not made
 		return nil
 	}
 	o := f.launch(x, choice, number, true, results)
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -27,7 +27,8 @@
 	return &Budget{clock: clock, balance: 1, at: clock()}
 }
 
-// Deposit adds share attempts. It must be called once for every request.
+// Deposit adds share attempts. It must be called once for every request, and may give
+// back an attempt that was allowed and not made.
 func (b *Budget) Deposit(share float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
