Keep the void of an attempt once, however often it was recorded

Repeats of a call got outcome_unknown until the horizon although no attempt of it was ever sent.

Cause: a void is submitted until it is read back, to up to three daemons, so that one attempt may have many in the log. Each took one of the eight places in which a stream remembers voided attempts of a key. Nine voids of one attempt made it forget another, whose late intent then held the key for good.

A void that is known takes no place now. Nine attempts of one key that are all voided before the intent of the first arrives still make a stream forget the first; the key is then held until the horizon.

Evidence: TestRepeatedVoidsForgetNoOther failed before (the late intent got FIRST, the next attempt IN_FLIGHT); TestAtMostOnce passes.

Conclusion: a fault of service, none of at-most-once.

--- a/internal/control/calls/machine.go
+++ b/internal/control/calls/machine.go
@@ -37,6 +37,18 @@
 	return c.intent != nil && bytes.Equal(c.intent.Nonce, nonce)
 }
 
+// addVoided keeps the nonce of a voided attempt, once even if its void was recorded
+// more than once, and forgets the oldest when there are too many.
+func (c *keyState) addVoided(nonce id) {
+	if slices.Contains(c.voided, nonce) {
+		return
+	}
+	c.voided = append(c.voided, nonce)
+	if len(c.voided) > voidedMax {
+		c.voided = c.voided[1:]
+	}
+}
+
 // machine is the replicated state machine of one stream. Its state depends only
 // on the records and their order. Machines that applied the same records are
 // equal, so any daemon may reply for the stream.
@@ -134,10 +146,7 @@
 		}
 		c.intent = nil
 	}
-	c.voided = append(c.voided, toID(e.Nonce))
-	if len(c.voided) > voidedMax {
-		c.voided = c.voided[1:]
-	}
+	c.addVoided(toID(e.Nonce))
 	c.expires = later(c.expires, m.clock.Add(retentionOf(e)))
 }
 
