Test what follows when a caller leaves

No code changes. A call whose caller closes or resets its connection is sent once, also when its upstream breaks off afterwards, on all three kinds of routes; a caller that comes back with the same key gets the first run's answer. A call that runs once and meets its route's timeout is refused with the effect unknown.

--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"currantpulley/internal/config"
 	"currantpulley/internal/fake/fakelog"
 )
 
@@ -24,7 +25,7 @@
 type rawUpstream struct {
 	address string
 	runs    atomic.Int64 // requests but those for the engine's state and cache events
-	conns   atomic.Int64
+	posts   atomic.Int64 // of runs
 }
 
 // respondFunc answers a request, the number-th on its connection. It returns whether
@@ -46,7 +47,6 @@
 			if err != nil {
 				return
 			}
-			u.conns.Add(1)
 			go u.serve(c, respond)
 		}
 	}()
@@ -69,6 +69,9 @@
 		}
 		number++
 		u.runs.Add(1)
+		if r.Method == http.MethodPost {
+			u.posts.Add(1)
+		}
 		if !respond(c, r, number) {
 			return
 		}
@@ -91,7 +94,9 @@
 	t.Cleanup(log.Close)
 	s := testSettings()
 	s.Platform.Log = log.URL
-	d, err := Start(context.Background(), s, WithConfig(7, testConfig(nil, services)))
+	c := testConfig(nil, services)
+	c.Routes["once"].Timeout = config.Duration(time.Second)
+	d, err := Start(context.Background(), s, WithConfig(7, c))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -133,6 +138,10 @@
 func TestFailedCallThatRunsOnceIsNotAnsweredWithSuccess(t *testing.T) {
 	for name, respond := range map[string]respondFunc{
 		"broken": func(io.Writer, *http.Request, int) bool { return false },
+		"silent": func(io.Writer, *http.Request, int) bool {
+			time.Sleep(2 * time.Second) // longer than the route's timeout
+			return false
+		},
 		"not run": func(w io.Writer, r *http.Request, _ int) bool {
 			writeRaw(w, http.StatusServiceUnavailable, r.Header.Get("X-Request-Id"), "", "X-Effect", "not-run")
 			return true
@@ -141,7 +150,10 @@
 		t.Run(name, func(t *testing.T) {
 			d := startLoggedDaemon(t, newRawUpstream(t, respond).address)
 			got := ask(t, d, http.MethodPost, "/credit", "{}", "Idempotency-Key", "k")
-			want := map[string]string{"broken": "unknown", "not run": "not-run"}[name]
+			want := "unknown"
+			if name == "not run" {
+				want = "not-run"
+			}
 			if got.status != http.StatusBadGateway || got.effect != want {
 				t.Errorf("%+v, want status 502 and effect %q", got, want)
 			}
@@ -304,3 +316,58 @@
 		}
 	}
 }
+
+// leave sends a request and closes the connection while the request is in progress,
+// with a reset if reset is set.
+func leave(t *testing.T, d *Daemon, path, header, body string, reset bool) {
+	t.Helper()
+	c, err := net.Dial("tcp", d.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s", path, testKey, header, len(body), body)
+	time.Sleep(100 * time.Millisecond) // until the upstream has the request
+	if tcp, ok := c.(*net.TCPConn); ok && reset {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// Guards against a call whose caller left and that is sent to another upstream after
+// its own one broke off.
+func TestCallOfCallerThatLeftIsNotSentAgain(t *testing.T) {
+	late := func(io.Writer, *http.Request, int) bool {
+		time.Sleep(300 * time.Millisecond)
+		return false
+	}
+	for _, path := range []string{"/stock", "/credit", "/v1/completions"} {
+		for _, reset := range []bool{false, true} {
+			a, b := newRawUpstream(t, late), newRawUpstream(t, late)
+			addresses := []string{a.address, b.address}
+			d := startDaemon(t, testConfig(addresses, addresses))
+			leave(t, d, path, "", contractBody(true), reset)
+			time.Sleep(500 * time.Millisecond)
+			if got := a.posts.Load() + b.posts.Load(); got != 1 {
+				t.Errorf("%s, reset %v: %d sends", path, reset, got)
+			}
+		}
+	}
+}
+
+// Guards against a call that runs a second time when its caller left and comes back
+// with the same key.
+func TestCallOfCallerThatLeftIsReplayed(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		u := newRawUpstream(t, func(w io.Writer, r *http.Request, _ int) bool {
+			time.Sleep(300 * time.Millisecond)
+			writeRaw(w, http.StatusCreated, r.Header.Get("X-Request-Id"), "done")
+			return true
+		})
+		d := startLoggedDaemon(t, u.address)
+		leave(t, d, "/credit", "Idempotency-Key: k\r\n", "{}", reset)
+		got := ask(t, d, http.MethodPost, "/credit", "{}", "Idempotency-Key", "k")
+		if runs := u.posts.Load(); runs != 1 || got.status != http.StatusCreated || got.body != "done" {
+			t.Errorf("reset %v: %d runs, %+v", reset, runs, got)
+		}
+	}
+}
