Close the connection of a caller that closed its side

A caller that closed only its side of a connection waited for the end of the response until the daemon's garbage collector found the connection, more than 20 s in a test. A caller that closed both sides left a socket behind in the daemon for as long, which the limit on connections doesn't count.

Cause: in its blocking mode nbhttp calls onClose after the last read of a connection and leaves the socket open; the server closed TLS connections only. It closes each in onClose now, after nbhttp has forgotten it.

Evidence: TestConnectionOfCallerThatClosedIsClosed failed before (i/o timeout after 2 s) and passes now, three times with -race.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -157,13 +157,15 @@
 	}
 }
 
-// onClose removes a closed connection from the server.
+// onClose removes a connection from the server and closes it. In the blocking mode
+// nbhttp leaves the connection open after its last read.
 func (s *Server) onClose(nc net.Conn, _ error) {
 	s.openConns.Add(-1)
 	outer, ok := nc.(*nbhttp.Conn)
 	if !ok {
 		return
 	}
+	_ = outer.Conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, outer)
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -68,3 +69,18 @@
 		t.Fatalf("status %d", res.StatusCode)
 	}
 }
+
+// Guards against connections that stay open in the server, uncounted, until the
+// garbage collector finds them, after their callers closed them.
+func TestConnectionOfCallerThatClosedIsClosed(t *testing.T) {
+	c := startServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("x")) })
+	get(t, c, "/")
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		t.Fatal("not a TCP connection")
+	}
+	_ = tcp.CloseWrite()
+	if _, err := io.ReadAll(c); err != nil {
+		t.Error(err)
+	}
+}
