--- a/internal/filter/dispatch/call.go
+++ b/internal/filter/dispatch/call.go
@@ -10,6 +10,7 @@
 	"currantpulley/internal/failure"
 	"currantpulley/internal/hop"
 	"currantpulley/internal/pipe"
+	"currantpulley/internal/refusal"
 	"currantpulley/internal/upstream"
 )
 
@@ -38,10 +39,11 @@
 	var lastErr error
 	for number := 1; ; number++ {
 		choice, err := pickNext(ctx, x, tried, lastErr)
-		if err != nil {
-			return err
+		if err == nil {
+			err = checkBeforeSend(x)
 		}
-		if err := checkBeforeSend(x); err != nil {
+		if err != nil {
+			f.returnRetry(number > 1)
 			return err
 		}
 		response, a, err := f.attemptCall(ctx, x, choice, number)
@@ -55,7 +57,7 @@
 		f.record(event.AttemptFailed, a, err)
 		tried = append(tried, choice.Upstream.Name)
 		lastErr = err
-		if (!x.Route.Repeatable && !a.NotRun) || !f.mayRetry(x, number) {
+		if (!x.Route.Repeatable && !a.NotRun) || !f.mayRetry(ctx, x, number) {
 			return failureRefusal(x, lastErr)
 		}
 	}
@@ -71,7 +73,8 @@
 }
 
 // attemptCall sends the call to one upstream. It returns an error also when the
-// service states that it did not run the call.
+// service states that it did not run the call, and when the status of a call that
+// must not be repeated says so without that statement.
 func (f *Filter) attemptCall(ctx context.Context, x *pipe.Exchange, choice pipe.Choice, number int) (*upstream.Response, *pipe.Attempt, error) {
 	a := &pipe.Attempt{Exchange: x, Choice: choice, Number: number, RequestID: attemptID(x, number, false)}
 	x.Attempts = append(x.Attempts, a)
@@ -93,6 +96,10 @@
 		return nil, a, failure.At("call", choice.Upstream.Name, &upstream.StatusError{Status: response.Status, Message: "refused by the service"})
 	}
 	x.Sent = true
+	if !x.Route.Repeatable && impliesNotRun(response.Status) {
+		response.Close()
+		return nil, a, failure.At("call", choice.Upstream.Name, &upstream.StatusError{Status: response.Status, Message: "the service may have run the call"})
+	}
 	notifyFirstToken(x, a)
 	return response, a, nil
 }
@@ -103,13 +110,17 @@
 	peer := a.Choice.Upstream.Name
 	head, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswerMax))
 	if err != nil {
-		return failureRefusal(x, failure.At("read answer", peer, err))
+		return brokenAnswer(x, failure.At("read answer", peer, err))
 	}
 	h := x.Writer.Header()
 	for name, values := range endToEnd(response.Header) {
 		h[name] = values
 	}
 	h.Set(upstream.HeaderRequestID, x.VisibleID())
+	h.Del(upstream.HeaderEffect)
+	if impliesNotRun(response.Status) {
+		h.Set(upstream.HeaderEffect, string(refusal.Unknown))
+	}
 	if len(head) < bufferedAnswerMax {
 		h.Set("Content-Length", strconv.Itoa(len(head)))
 	}
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -19,7 +19,8 @@
 
 // Budget limits the rate of further attempts, like a token bucket.
 type Budget interface {
-	// Deposit adds the given fraction of an attempt. It is called once per request.
+	// Deposit adds the given fraction of an attempt. It is called once per request, and
+	// with a whole attempt for one that was allowed and not made.
 	Deposit(share float64)
 	// Allow takes one attempt from the budget and reports whether there was one.
 	Allow() bool
@@ -78,10 +79,18 @@
 	}
 }
 
-// mayRetry reports whether another attempt may follow attempt number. If so, it
-// takes one from the retry budget.
-func (f *Filter) mayRetry(x *pipe.Exchange, number int) bool {
-	return x.Ctx.Err() == nil && number < x.Snap.Config.Retry.AttemptsMax && f.Retries.Allow()
+// mayRetry reports whether another attempt may follow attempt number before ctx ends.
+// If so, it takes one from the retry budget.
+func (f *Filter) mayRetry(ctx context.Context, x *pipe.Exchange, number int) bool {
+	return ctx.Err() == nil && number < x.Snap.Config.Retry.AttemptsMax && f.Retries.Allow()
+}
+
+// returnRetry gives a retry that was taken from the budget, if charged, back to it,
+// since it is not made.
+func (f *Filter) returnRetry(charged bool) {
+	if charged {
+		f.Retries.Deposit(1)
+	}
 }
 
 // failureRefusal converts the error of the last attempt into a refusal. Its effect
@@ -95,14 +104,16 @@
 		code, message = refusal.DeadlineExceeded, "no token came within the deadline"
 	}
 	r := refusal.NewUnknown(code, err, "%s", message)
-	if noneRan(x) {
+	if noneRan(x.Attempts) {
 		r.Effect = refusal.NotRun
 	}
 	return r
 }
 
-func noneRan(x *pipe.Exchange) bool {
-	for _, a := range x.Attempts {
+// noneRan reports whether all attempts are known not to have run. None may be in
+// flight.
+func noneRan(attempts []*pipe.Attempt) bool {
+	for _, a := range attempts {
 		if !a.NotRun {
 			return false
 		}
@@ -136,11 +147,18 @@
 	x.Writer.WriteHeader(status)
 }
 
-// passThrough reports whether an answer with this status is relayed unchanged,
-// since another upstream would give the same answer.
+// impliesNotRun reports whether callers take a status for the statement that their
+// request did not run. An upstream may respond with it after the request ran.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// passThrough reports whether an engine's answer with this status is relayed
+// unchanged, since another engine would give the same answer.
 func passThrough(status int) bool {
-	return status < http.StatusInternalServerError &&
-		status != http.StatusPreconditionFailed &&
-		status != http.StatusTooManyRequests &&
-		status != http.StatusRequestTimeout
+	return status < http.StatusInternalServerError && status != http.StatusPreconditionFailed && !impliesNotRun(status)
 }
--- a/internal/filter/dispatch/relay.go
+++ b/internal/filter/dispatch/relay.go
@@ -93,7 +93,7 @@
 			return upstream.Event{}, err
 		}
 		response, err := f.Engine.Resume(o.ctx, a.Choice.Upstream.Address, a.RequestID, last)
-		if errors.Is(err, upstream.ErrStreamNotFound) || errors.Is(err, upstream.ErrWrongRequestID) {
+		if errors.Is(err, upstream.ErrStreamNotFound) {
 			return upstream.Event{}, err
 		}
 		if err != nil {
@@ -212,7 +212,7 @@
 func (f *Filter) relayBody(x *pipe.Exchange, o *openedAttempt) error {
 	head, err := io.ReadAll(io.LimitReader(o.response.Body, bufferedAnswerMax))
 	if err != nil {
-		return failureRefusal(x, failure.At("read answer", o.attempt.Choice.Upstream.Name, err))
+		return brokenAnswer(x, failure.At("read answer", o.attempt.Choice.Upstream.Name, err))
 	}
 	setAnswerHeader(x, o.response.Header.Get("Content-Type"))
 	if len(head) < bufferedAnswerMax {
@@ -242,15 +242,17 @@
 			return nil
 		}
 		if err != nil {
-			abort(x.Writer)
-			return failureRefusal(x, failure.At("relay", peer, err))
+			x.Abort()
+			return brokenAnswer(x, failure.At("relay", peer, err))
 		}
 	}
 }
 
-// abort closes the caller's connection if w supports it.
-func abort(w http.ResponseWriter) {
-	if a, ok := w.(interface{ Abort() }); ok {
-		a.Abort()
+// brokenAnswer converts an error of reading an answer that had begun into a refusal.
+// Its request may have run, and other attempts may still be in flight.
+func brokenAnswer(x *pipe.Exchange, err error) error {
+	if x.Ctx.Err() != nil {
+		return x.Ctx.Err()
 	}
+	return refusal.NewUnknown(refusal.UpstreamFailed, err, "the answer broke off")
 }
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -142,6 +142,22 @@
 	return x.ID
 }
 
+// Abort closes the caller's connection if the writer, or one that it wraps, supports
+// it, so that the caller does not take a part of an answer for all of it.
+func (x *Exchange) Abort() {
+	for w := x.Writer; w != nil; {
+		if a, ok := w.(interface{ Abort() }); ok {
+			a.Abort()
+			return
+		}
+		wrapper, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			return
+		}
+		w = wrapper.Unwrap()
+	}
+}
+
 // Pipe is an ordered list of filters.
 type Pipe []Filter
 
