Keep the retry budget of each service apart

Callers would see, and the upstreams would count, more repeats at a failing service than its own requests allow, as soon as another service has much traffic: one window counted the requests and the repeats of all services, while the bound holds for each service.

Ruled out: a route that splits its traffic needs no more than this, since a request is sent again only within its service. The request is counted after a resumption was bound to its build's service, so it counts where it goes.

Each service has a window of its own now.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,7 +92,7 @@
 	if !f.notRun && (!q.route.MayRepeat() || q.runs >= q.route.MaxAttempts) {
 		return false
 	}
-	return !f.sent || f.budgeted || g.opts.Retries.Allow()
+	return !f.sent || f.budgeted || g.opts.Retries.Allow(q.service.Name)
 }
 
 // refusalFor returns the error of a request whose last attempt failed with f:
@@ -316,7 +316,7 @@
 	if a.response.Header.Get("Content-Encoding") != "" {
 		return &failedAttempt{sent: true, err: fmt.Errorf("%w: the response has a content encoding that was not asked for", upstream.ErrMalformed)}
 	}
-	if status >= http.StatusInternalServerError && q.route.MayRepeat() && q.runs < q.route.MaxAttempts && g.opts.Retries.Allow() {
+	if status >= http.StatusInternalServerError && q.route.MayRepeat() && q.runs < q.route.MaxAttempts && g.opts.Retries.Allow(q.service.Name) {
 		return &failedAttempt{sent: true, budgeted: true, err: fmt.Errorf("the upstream answered with status %d", status)}
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,7 +30,7 @@
 	Watcher     *catalog.Watcher
 	Balancer    *balance.Balancer
 	Transport   http.RoundTripper
-	Retries     *retry.Window
+	Retries     *retry.Windows
 	Recorder    event.Recorder
 	Metrics     *metrics.Gateway // nil: metrics are discarded
 	Proof       *freshness.Proof // when the configuration was last proved to be the newest
@@ -166,7 +166,7 @@
 	if err := g.bindToOrigin(q); err != nil {
 		return err
 	}
-	g.opts.Retries.Request()
+	g.opts.Retries.Request(q.service.Name)
 	return g.sendWithRetries(q)
 }
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -29,7 +29,8 @@
 	NewPeerCalls(m.registry).CountCall("Exchange/Tell", errors.New("timeout"))
 	NewOrderStages(m.registry).Observe("drain", time.Second)
 	one := func() float64 { return 1 }
-	State{one, one, one, one, one, one, one, one, one, one, one, one, one, one}.Register(m.registry)
+	budget := func() map[string]float64 { return map[string]float64{"s": 1} }
+	State{one, one, one, one, one, budget, one, one, one, one, one, one, one, one}.Register(m.registry)
 	return m
 }
 
@@ -56,6 +57,7 @@
 		`currantpulley_order_stage_duration_seconds_bucket{stage="drain",le="1"} 1`,
 		`currantpulley_upstreams_behind 1`,
 		`currantpulley_weights_oldest_behind_seconds 1`,
+		`currantpulley_retry_budget_attempts{service="s"} 1`,
 		`process_cpu_seconds_total `,
 	} {
 		if !strings.Contains(w.Body.String(), want) {
@@ -64,6 +66,17 @@
 	}
 }
 
+// The number of time series must stay bounded however many services there are.
+func TestRetryBudgetsAreBounded(t *testing.T) {
+	left := make(map[string]float64)
+	for i := range 10 * maxNames {
+		left[fmt.Sprint("service-", i)] = 1
+	}
+	if n := testutil.CollectAndCount(retryBudget(func() map[string]float64 { return left })); n != maxNames {
+		t.Errorf("got %d time series", n)
+	}
+}
+
 // The number of time series must stay bounded however many routes a
 // configuration has.
 func TestRoutesAreBounded(t *testing.T) {
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -9,19 +9,19 @@
 // when the metrics are collected.
 type State struct {
 	ConfigurationVersion func() float64
-	ConfigurationAge     func() float64 // seconds since the configuration was proved to be the newest
-	RegistryAge          func() float64 // seconds since the list of upstreams was proved to be complete
-	LeaseHeld            func() float64 // 1 if this daemon holds the lease for orders to engines, else 0
-	Peers                func() float64 // number of live daemons, this one included
-	RetryBudget          func() float64 // number of retries that the budget allows now
-	Upstreams            func() float64 // number of upstreams that are not leaving
-	UpstreamsClosed      func() float64 // number of upstreams that get no requests now
-	RequestsAtUpstreams  func() float64 // requests of all daemons at upstreams, as far as this daemon knows
-	TokensWaiting        func() float64 // prompt tokens waiting for prefill in engines, of all daemons
-	UpstreamsBehind      func() float64 // upstreams whose weights are older than the target
-	OldestWeightsBehind  func() float64 // seconds since weights newer than the oldest ones in use were announced; 0: none are
-	LogLinesDropped      func() float64 // lines dropped because the log's reader was too slow
-	LogEventsSuppressed  func() float64 // events not logged because of sampling
+	ConfigurationAge     func() float64            // seconds since the configuration was proved to be the newest
+	RegistryAge          func() float64            // seconds since the list of upstreams was proved to be complete
+	LeaseHeld            func() float64            // 1 if this daemon holds the lease for orders to engines, else 0
+	Peers                func() float64            // number of live daemons, this one included
+	RetryBudget          func() map[string]float64 // number of retries that the budget allows now, by service
+	Upstreams            func() float64            // number of upstreams that are not leaving
+	UpstreamsClosed      func() float64            // number of upstreams that get no requests now
+	RequestsAtUpstreams  func() float64            // requests of all daemons at upstreams, as far as this daemon knows
+	TokensWaiting        func() float64            // prompt tokens waiting for prefill in engines, of all daemons
+	UpstreamsBehind      func() float64            // upstreams whose weights are older than the target
+	OldestWeightsBehind  func() float64            // seconds since weights newer than the oldest ones in use were announced; 0: none are
+	LogLinesDropped      func() float64            // lines dropped because the log's reader was too slow
+	LogEventsSuppressed  func() float64            // events not logged because of sampling
 }
 
 // Register registers the metrics of the state in r.
@@ -36,7 +36,6 @@
 		{"registry_age_seconds", "Time since the list of upstreams was proved to be complete.", s.RegistryAge},
 		{"order_lease_held", "1 on the daemon that gives the orders to engines, else 0.", s.LeaseHeld},
 		{"peers_live", "Live daemons, this one included.", s.Peers},
-		{"retry_budget_attempts", "Attempts that may still be repeated in the running window.", s.RetryBudget},
 		{"upstreams_known", "Upstreams that are not leaving.", s.Upstreams},
 		{"upstreams_closed", "Upstreams that get no work now: they failed, or load weights.", s.UpstreamsClosed},
 		{"upstream_requests", "Requests of all daemons at upstreams, as far as this daemon knows.", s.RequestsAtUpstreams},
@@ -46,6 +45,7 @@
 	} {
 		f.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: g.name, Help: g.help}, g.value)
 	}
+	r.MustRegister(retryBudget(s.RetryBudget))
 	f.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines dropped because their reader was too slow."}, s.LogLinesDropped)
 	f.NewCounterFunc(prometheus.CounterOpts{
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -47,11 +47,11 @@
 	Logs      *Logs
 	Watcher   *catalog.Watcher
 	Balancer  *balance.Balancer
-	Config    *freshness.Proof // proof that the configuration is the newest
-	Registry  *freshness.Proof // proof that the list of upstreams is complete
-	LeaseHeld func() bool      // whether this daemon holds the lease for orders to engines
-	Peers     func() int       // number of live daemons, this one included
-	Budget    func() float64   // number of retries that the budget allows now
+	Config    *freshness.Proof          // proof that the configuration is the newest
+	Registry  *freshness.Proof          // proof that the list of upstreams is complete
+	LeaseHeld func() bool               // whether this daemon holds the lease for orders to engines
+	Peers     func() int                // number of live daemons, this one included
+	Budget    func() map[string]float64 // number of retries that the budget allows now, by service
 }
 
 // Register registers the metrics of the daemon's state in r.
