Read each request once and pass it on as it was read

Callers could get a request run that a strict reader of the same bytes doesn't find (smuggled or with a changed body, target or method), the refusal of their second request as the answer to the first, a 400 for a proper request that was sent early, or no answer until the read timeout.

Cause: net/http checked the bytes and nbhttp's parser read them again in another way. nbhttp takes "Content-Length : 5", folded lines and words after a name for fields, chunks in HTTP/1.0, methods in lower case; it goes on in the middle of a request after a syntax error, as its blocking reader drops the error. The check looked at all bytes of a read before any handler ran, and counted everything behind a chunked body as part of it, so that a second request there passed unchecked.

Change: conn decides where a request ends, with net/http's parser and chunk reader and httpguts, and gives nbhttp one request at a time. Chunks are written anew without extensions and trailers. Whatever parsers read in different ways gets 400 and a closed connection: two lengths, a length beside chunks, other codings, bare CR or LF, several hosts, targets that would be forwarded in another form (absolute ones, "|", "#"). A missing Host is still passed on and finds no route. Requests that were read ahead are dropped after an abort.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -7,8 +7,11 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httputil"
 	"os"
 	"sync/atomic"
 	"time"
@@ -18,8 +21,8 @@
 	"currantpulley/internal/refusal"
 )
 
-// endOfHeader ends the header of an HTTP/1 request.
-var endOfHeader = []byte("\r\n\r\n")
+// endOfHead ends the head of an HTTP/1 request.
+var endOfHead = []byte("\r\n\r\n")
 
 // errRejected stops reading from a connection whose request was refused.
 var errRejected = errors.New("request refused")
@@ -29,26 +32,38 @@
 // caller has read the response.
 const lingerTimeout = 500 * time.Millisecond
 
+const (
+	readBuffer  = 2 << 10  // bytes read ahead of each connection
+	chunkBuffer = 4 << 10  // bytes of a chunked body passed to nbhttp at once
+	maxTrailer  = 16 << 10 // bytes of the trailer of a chunked body
+)
+
 // conn wraps a caller's connection for nbhttp. nbhttp reads from it in the
 // goroutine that also runs the handler.
+//
+// conn decides where each request ends and passes nbhttp one request at a time, of
+// which it has checked each byte. Chunked bodies are passed on in chunks of its own,
+// without extensions and trailers.
 type conn struct {
 	net.Conn // tcp, or the TLS connection over it
 	server   *Server
 	nbConn   *nbhttp.Conn
 	tcp      net.Conn
 
-	header    []byte // of the request being read, until the header is complete
-	inBody    bool
-	remaining int64 // bytes of the body still to be read; -1: chunked
-	received  int64 // bytes of a chunked body
-	started   bool  // part of a request was read and its handler was not called yet
+	in        *bufio.Reader // of Conn
+	out       []byte        // checked, not yet returned to nbhttp
+	length    int64         // bytes of the body still to be returned; -1: it is chunked
+	chunks    io.Reader     // decodes a chunked body; nil: there is none
+	decoded   int64         // bytes of a chunked body
+	chunk     []byte        // buffer for chunks
+	started   bool          // part of a request was read and its handler was not called yet
+	readError error         // of the read ahead
 
 	writeErr atomic.Pointer[error] // first write error
 	handling atomic.Bool           // a handler runs
+	aborted  atomic.Bool           // no further request is read
 
-	pending       []byte        // read ahead, not yet returned to nbhttp
-	readErr       error         // of the read ahead
-	readAheadDone chan struct{} // closed when the read ahead ends; nil: none was started
+	readAheadDone chan struct{} // closed when the read ahead ends
 }
 
 // newConn wraps the connection of outer, with TLS if the server uses it.
@@ -57,15 +72,14 @@
 	if s.opts.TLS != nil {
 		c.Conn = tls.Server(outer.Conn, s.opts.TLS)
 	}
+	c.in = bufio.NewReaderSize(c.Conn, readBuffer)
 	return c
 }
 
-// Read implements net.Conn. It checks the limits before nbhttp sees the data.
+// Read implements net.Conn. It returns bytes of one request only, until its handler
+// was called.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.read(p)
-	if err == nil {
-		err = c.inspect(p[:n])
-	}
 	if err != nil {
 		c.onReadError(err)
 		return 0, err
@@ -73,19 +87,36 @@
 	return n, nil
 }
 
-// read returns data that was read ahead first.
 func (c *conn) read(p []byte) (int, error) {
-	if len(c.pending) > 0 {
-		n := copy(p, c.pending)
-		c.pending = c.pending[n:]
-		return n, nil
+	if len(c.out) == 0 {
+		if n, err := c.fill(p); n > 0 || err != nil {
+			return n, err
+		}
 	}
-	if c.readErr != nil {
-		return 0, c.readErr
+	n := copy(p, c.out)
+	c.out = c.out[n:]
+	return n, nil
+}
+
+// fill reads the next part of a request into p, or into out and returns 0.
+func (c *conn) fill(p []byte) (int, error) {
+	switch {
+	case c.length > 0:
+		n, err := c.in.Read(p[:min(int64(len(p)), c.length)])
+		c.length -= int64(n)
+		return n, err
+	case c.chunks != nil:
+		return 0, c.readChunk()
+	case c.started:
+		// nbhttp's parser has the whole request and did not call the handler.
+		return 0, c.reject(malformed("its syntax"))
 	}
-	return c.Conn.Read(p)
+	return 0, c.readHead()
 }
 
+// whole reports whether nbhttp has got all bytes of the request.
+func (c *conn) whole() bool { return len(c.out) == 0 && c.length <= 0 && c.chunks == nil }
+
 // onReadError restores the original connection in nbhttp's entry, because nbhttp
 // finds the entry to delete by the type of its connection. A request that was
 // not sent in time is refused first.
@@ -117,126 +148,146 @@
 	return nil
 }
 
-// inspect checks the limits for the next bytes read from the connection.
-func (c *conn) inspect(data []byte) error {
-	for len(data) > 0 {
-		if c.inBody {
-			n, err := c.inspectBody(data)
-			if err != nil {
-				return err
-			}
-			data = data[n:]
-			continue
-		}
-		rest, err := c.inspectHeader(data)
-		if err != nil {
-			return err
-		}
-		data = rest
+// readHead waits for a request, reads its head and prepares for its body.
+func (c *conn) readHead() error {
+	if c.aborted.Load() {
+		return net.ErrClosed
+	}
+	if c.readError != nil {
+		return c.readError
+	}
+	if _, err := c.in.Peek(1); err != nil {
+		return err
+	}
+	c.started = true
+	limits := c.server.opts.Limits()
+	if limits.ReadTimeout > 0 {
+		_ = c.tcp.SetReadDeadline(time.Now().Add(limits.ReadTimeout))
+	}
+	raw, err := c.collectHead(limits.MaxHeader)
+	if err != nil {
+		return err
+	}
+	h, refused := parseHead(raw)
+	if refused == nil && h.length > limits.MaxBody {
+		refused = refusal.New(refusal.TooLarge, "the body is larger than %d bytes", limits.MaxBody)
+	}
+	if refused != nil {
+		return c.reject(refused)
+	}
+	c.out, c.length = h.bytes, h.length
+	if h.length < 0 {
+		c.chunks, c.decoded = httputil.NewChunkedReader(c.in), 0
 	}
 	return nil
 }
 
-// inspectHeader collects the header of a request and returns the data after it.
-func (c *conn) inspectHeader(data []byte) ([]byte, error) {
-	limits := c.server.opts.Limits()
-	if !c.started {
-		c.started = true
-		if limits.ReadTimeout > 0 {
-			_ = c.tcp.SetReadDeadline(time.Now().Add(limits.ReadTimeout))
+// collectHead reads a head of at most limit bytes, line by line.
+func (c *conn) collectHead(limit int64) ([]byte, error) {
+	var raw []byte
+	for !bytes.HasSuffix(raw, endOfHead) {
+		part, err := c.in.ReadSlice('\n')
+		raw = append(raw, part...)
+		if int64(len(raw)) > limit {
+			return nil, c.reject(refusal.New(refusal.HeaderTooLarge, "the header is larger than %d bytes", limit))
 		}
-	}
-	from := max(0, len(c.header)-len(endOfHeader)+1)
-	c.header = append(c.header, data...)
-	end := bytes.Index(c.header[from:], endOfHeader)
-	if end < 0 {
-		if int64(len(c.header)) > limits.MaxHeader {
-			return nil, c.reject(refusal.New(refusal.HeaderTooLarge, "the header is larger than %d bytes", limits.MaxHeader))
+		if err != nil && !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, err
+		}
+		if bytes.HasSuffix(raw, []byte("\n\n")) {
+			return nil, c.reject(malformed("a line without a carriage return"))
 		}
-		return nil, nil
-	}
-	end += from + len(endOfHeader)
-	if int64(end) > limits.MaxHeader {
-		return nil, c.reject(refusal.New(refusal.HeaderTooLarge, "the header is larger than %d bytes", limits.MaxHeader))
 	}
-	rest := data[len(data)-(len(c.header)-end):]
-	return rest, c.startBody(c.header[:end], limits)
+	return raw, nil
 }
 
-// startBody parses a complete header and prepares for the body.
-func (c *conn) startBody(header []byte, limits Limits) error {
-	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(header)))
-	if err != nil {
-		return c.reject(refusal.New(refusal.BadRequest, "the request line or a header field is malformed"))
+// readChunk reads a part of a chunked body into out, as a chunk for nbhttp.
+func (c *conn) readChunk() error {
+	if c.chunk == nil {
+		c.chunk = make([]byte, chunkBuffer)
 	}
-	if r.ContentLength > limits.MaxBody {
-		return c.reject(refusal.New(refusal.TooLarge, "the body is larger than %d bytes", limits.MaxBody))
+	n, err := c.chunks.Read(c.chunk)
+	c.decoded += int64(n)
+	if limit := c.server.opts.Limits().MaxBody; c.decoded > limit {
+		return c.reject(refusal.New(refusal.TooLarge, "the body is larger than %d bytes", limit))
 	}
-	c.header = nil
-	c.received = 0
-	c.remaining = r.ContentLength
-	c.inBody = r.ContentLength != 0
-	return nil
+	c.out = c.out[:0:0]
+	if n > 0 {
+		c.out = fmt.Appendf(nil, "%x\r\n%s\r\n", n, c.chunk[:n])
+	}
+	if errors.Is(err, io.EOF) {
+		err = c.endChunks()
+	}
+	var failed net.Error
+	if err != nil && !errors.As(err, &failed) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, errRejected) {
+		err = c.reject(malformed("a chunk of its body"))
+	}
+	return err
 }
 
-// inspectBody returns how many bytes of data belong to the body. Only nbhttp's
-// parser finds the end of a chunked body, so all bytes before the handler is
-// called count as its body.
-func (c *conn) inspectBody(data []byte) (int, error) {
-	limits := c.server.opts.Limits()
-	if c.remaining >= 0 {
-		n := min(int64(len(data)), c.remaining)
-		c.remaining -= n
-		c.inBody = c.remaining > 0
-		return int(n), nil
-	}
-	c.received += int64(len(data))
-	if c.received > limits.MaxBody {
-		return 0, c.reject(refusal.New(refusal.TooLarge, "the body is larger than %d bytes", limits.MaxBody))
+// endChunks reads the trailer of a chunked body, drops it and ends the body.
+func (c *conn) endChunks() error {
+	for size := 0; ; {
+		line, err := c.in.ReadSlice('\n')
+		if err != nil {
+			return err
+		}
+		size += len(line)
+		field, ok := bytes.CutSuffix(line, lineEnd)
+		if !ok || size > maxTrailer {
+			return c.reject(malformed("its trailer"))
+		}
+		if len(field) == 0 {
+			break
+		}
+		if !bytes.Contains(field, []byte(":")) {
+			return c.reject(malformed("its trailer"))
+		}
 	}
-	return len(data), nil
+	c.chunks = nil
+	c.out = append(c.out, "0\r\n\r\n"...)
+	return nil
 }
 
 // startReadAhead reads from the connection while a handler runs, as net/http
 // does, and calls cancel when the caller disconnects.
 func (c *conn) startReadAhead(cancel context.CancelFunc) {
-	if c.remaining < 0 {
-		c.inBody = false
-	}
-	c.started = c.inBody || len(c.header) > 0 // part of a pipelined request was read
+	c.started = false
 	_ = c.tcp.SetReadDeadline(time.Time{})
-	if len(c.pending) > 0 || c.readErr != nil {
-		c.readAheadDone = nil
-		return
-	}
 	c.readAheadDone = make(chan struct{})
-	go c.readOneByte(cancel, c.readAheadDone)
+	go c.readAhead(cancel, c.readAheadDone)
 }
 
-// readOneByte reads one byte, which fails when the caller disconnects or when
-// stopReadAhead sets a deadline in the past.
-func (c *conn) readOneByte(cancel context.CancelFunc, done chan struct{}) {
+// readAhead reads until the buffer is full, the caller disconnects or stopReadAhead
+// sets a deadline in the past.
+func (c *conn) readAhead(cancel context.CancelFunc, done chan struct{}) {
 	defer close(done)
-	var one [1]byte
-	n, err := c.Conn.Read(one[:])
-	c.pending = append(c.pending, one[:n]...)
-	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-		return
+	for {
+		_, err := c.in.Peek(c.in.Buffered() + 1)
+		if errors.Is(err, bufio.ErrBufferFull) || errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		if err != nil {
+			c.readError = err
+			cancel()
+			return
+		}
 	}
-	c.readErr = err
-	cancel()
 }
 
 // stopReadAhead interrupts the read ahead and waits until it has ended.
 func (c *conn) stopReadAhead() {
-	if c.readAheadDone == nil {
-		return
-	}
 	_ = c.tcp.SetReadDeadline(time.Unix(1, 0))
 	<-c.readAheadDone
 	_ = c.tcp.SetReadDeadline(time.Time{})
 }
 
+// abort closes the connection at once. Requests that were read ahead are dropped.
+func (c *conn) abort() {
+	c.aborted.Store(true)
+	_ = c.tcp.Close()
+}
+
 // reject refuses a request that did not reach the handler and closes the
 // connection. Its error is errRejected once the refusal was written.
 func (c *conn) reject(r *refusal.Error) error {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,8 +4,9 @@
 //
 // In the blocking mode a write waits until the caller reads; the non-blocking
 // mode closes the connection of a caller that reads slowly. Each connection's
-// net.Conn is replaced by a conn of this package, which checks the limits before
-// nbhttp's parser sees the data. TLS is that of crypto/tls, below nbhttp.
+// net.Conn is replaced by a conn of this package, which checks syntax and limits of
+// each request before nbhttp's parser sees it. TLS is that of crypto/tls, below
+// nbhttp.
 package server
 
 import (
@@ -15,6 +16,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -183,6 +185,11 @@
 	if !ok {
 		return
 	}
+	if !c.whole() {
+		c.abort() // nbhttp's parser ended the request before conn did
+		return
+	}
+	trimValues(r)
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
 	c.handling.Store(true)
@@ -195,3 +202,14 @@
 	s.opts.Handler.ServeHTTP(out, r.WithContext(ctx))
 	out.extendDeadline() // nbhttp writes the end of the response after the handler
 }
+
+// trimValues removes the optional white space around header values, of which nbhttp
+// removes only leading spaces.
+func trimValues(r *http.Request) {
+	for _, values := range r.Header {
+		for i, v := range values {
+			values[i] = textproto.TrimString(v)
+		}
+	}
+	r.Host = textproto.TrimString(r.Host)
+}
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -64,7 +64,7 @@
 
 // Abort closes the connection. A caller that has received part of a response sees
 // that it is incomplete.
-func (w *Writer) Abort() { _ = w.conn.tcp.Close() }
+func (w *Writer) Abort() { w.conn.abort() }
 
 // CloseAfter closes the connection after this response and announces that to the
 // caller. It must be called before WriteHeader.
