Encode the responses to callers in the server

Callers saw an upstream's failure with a status that is not registered (420, 520, 599) as 200, the body of a refusal after the response to HEAD, which they take for the next response, and at HTTP/1.0 a stream that was cut after its first event but looked complete. A handler's panic left the caller waiting.

Cause: nbhttp's Response ignores a status without a registered text and sends 200 in its place; it writes a body whatever the method and status; to HTTP/1.0 it gives the first part of a body as its length; it sends a body that is shorter or longer than its Content-Length and goes on with the connection.

Change: Writer encodes head, length and chunks itself and hijacks nbhttp's Response, which then sends nothing. HTTP/1.0 callers get a body that ends with the connection, and a reset where it is cut. A body of another length and a panic end the connection.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -24,8 +24,12 @@
 // endOfHead ends the head of an HTTP/1 request.
 var endOfHead = []byte("\r\n\r\n")
 
-// errRejected stops reading from a connection whose request was refused.
-var errRejected = errors.New("request refused")
+var (
+	// errRejected stops reading from a connection whose request was refused.
+	errRejected = errors.New("request refused")
+	// errAborted is the error of writes after Writer.Abort.
+	errAborted = errors.New("the response was aborted")
+)
 
 // lingerTimeout is how long a refused caller may keep sending before its
 // connection is closed. Closing at once would reset the connection before the
@@ -59,9 +63,8 @@
 	started   bool          // part of a request was read and its handler was not called yet
 	readError error         // of the read ahead
 
-	writeErr atomic.Pointer[error] // first write error
-	handling atomic.Bool           // a handler runs
-	aborted  atomic.Bool           // no further request is read
+	handling atomic.Bool // a handler runs
+	ended    atomic.Bool // no further request is read
 
 	readAheadDone chan struct{} // closed when the read ahead ends
 }
@@ -130,27 +133,9 @@
 	c.nbConn.Conn = c.tcp
 }
 
-// Write implements net.Conn. It records the first error, as nbhttp's Flush
-// discards errors.
-func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.writeErr.CompareAndSwap(nil, &err)
-	}
-	return n, err
-}
-
-// writeError returns the first error of Write.
-func (c *conn) writeError() error {
-	if p := c.writeErr.Load(); p != nil {
-		return *p
-	}
-	return nil
-}
-
 // readHead waits for a request, reads its head and prepares for its body.
 func (c *conn) readHead() error {
-	if c.aborted.Load() {
+	if c.ended.Load() {
 		return net.ErrClosed
 	}
 	if c.readError != nil {
@@ -282,9 +267,20 @@
 	_ = c.tcp.SetReadDeadline(time.Time{})
 }
 
+// end closes the connection after a complete response.
+func (c *conn) end() {
+	c.ended.Store(true)
+	_ = c.Conn.Close()
+}
+
 // abort closes the connection at once. Requests that were read ahead are dropped.
-func (c *conn) abort() {
-	c.aborted.Store(true)
+// With reset, the caller gets an error where it would take the end of the connection
+// for that of the response.
+func (c *conn) abort(reset bool) {
+	c.ended.Store(true)
+	if t, ok := c.tcp.(*net.TCPConn); ok && reset {
+		_ = t.SetLinger(0)
+	}
 	_ = c.tcp.Close()
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -186,21 +186,25 @@
 		return
 	}
 	if !c.whole() {
-		c.abort() // nbhttp's parser ended the request before conn did
+		c.abort(false) // nbhttp's parser ended the request before conn did
 		return
 	}
 	trimValues(r)
+	_, _, _ = res.Hijack() // Writer writes the response
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
 	c.handling.Store(true)
 	defer c.handling.Store(false)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	out := newWriter(c, r, s.opts.Limits().WriteTimeout)
 	c.startReadAhead(cancel)
-	defer c.stopReadAhead()
-	out := &Writer{res: res, request: r, conn: c, timeout: s.opts.Limits().WriteTimeout}
+	defer func() {
+		c.stopReadAhead()
+		out.finish()
+	}()
+	defer out.abortOnPanic()
 	s.opts.Handler.ServeHTTP(out, r.WithContext(ctx))
-	out.extendDeadline() // nbhttp writes the end of the response after the handler
 }
 
 // trimValues removes the optional white space around header values, of which nbhttp
