Refuse a surplus connection in the goroutine that reads it

Beyond the maximum of connections a caller got a 503 with a second response in the middle of it, and its request had run: a call that may run once could run twice after the caller's retry.

Cause: one goroutine wrote the refusal while nbhttp's already read the connection, ran the request and wrote its response.

Change: the refusal is written at the first read, which then fails.

Evidence: TestRefusedConnectionRunsNothing failed before ("malformed MIME header: Content-TypeHTTP/1.1 200 OK"). TestSlowAndLargeRequests passed before as well; it holds what slow and oversized requests get.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -54,14 +54,15 @@
 	nbConn   *nbhttp.Conn
 	tcp      net.Conn
 
-	in        *bufio.Reader // of Conn
-	out       []byte        // checked, not yet returned to nbhttp
-	length    int64         // bytes of the body still to be returned; -1: it is chunked
-	chunks    io.Reader     // decodes a chunked body; nil: there is none
-	decoded   int64         // bytes of a chunked body
-	chunk     []byte        // buffer for chunks
-	started   bool          // part of a request was read and its handler was not called yet
-	readError error         // of the read ahead
+	in        *bufio.Reader  // of Conn
+	out       []byte         // checked, not yet returned to nbhttp
+	length    int64          // bytes of the body still to be returned; -1: it is chunked
+	chunks    io.Reader      // decodes a chunked body; nil: there is none
+	decoded   int64          // bytes of a chunked body
+	chunk     []byte         // buffer for chunks
+	started   bool           // part of a request was read and its handler was not called yet
+	readError error          // of the read ahead
+	refused   *refusal.Error // with which all requests are refused; nil: they are served
 
 	handling atomic.Bool // a handler runs
 	ended    atomic.Bool // no further request is read
@@ -141,6 +142,9 @@
 	if c.readError != nil {
 		return c.readError
 	}
+	if c.refused != nil {
+		return c.reject(c.refused)
+	}
 	if _, err := c.in.Peek(1); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/server/limits_test.go
@@ -0,0 +1,87 @@
+package server_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"currantpulley/internal/server"
+)
+
+// dial connects to the server at address.
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// Guards against a request that runs although its connection was refused, with a
+// status that says that it didn't run.
+func TestRefusedConnectionRunsNothing(t *testing.T) {
+	var runs atomic.Int64
+	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }),
+		Limits: func() server.Limits {
+			l := testLimits()
+			l.MaxConnections = 1
+			return l
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	dial(t, s.Address())
+	time.Sleep(20 * time.Millisecond)
+	for range 50 {
+		c := dial(t, s.Address())
+		_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		res, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || res.StatusCode != http.StatusServiceUnavailable || !res.Close {
+			t.Fatalf("%v %v", res, err)
+		}
+		_ = res.Body.Close()
+		_ = c.Close()
+	}
+	if runs.Load() > 0 {
+		t.Errorf("%d of 50 refused requests ran", runs.Load())
+	}
+}
+
+// Guards against callers without an answer, or with a promise that isn't true, when
+// they are slow or send too much.
+func TestSlowAndLargeRequests(t *testing.T) {
+	large := strings.Repeat("x", 2<<20)
+	for _, tc := range []struct {
+		name, input string
+		want        int
+	}{
+		{"slow head", "POST / HT", http.StatusRequestTimeout},
+		{"slow field", "POST / HTTP/1.1\r\nHost", http.StatusRequestTimeout},
+		{"slow body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc", http.StatusRequestTimeout},
+		{"slow chunk", chunked + "\r\n9\r\nabc", http.StatusRequestTimeout},
+		{"slow end of chunks", chunked + "\r\n3\r\nabc\r\n0\r\n", http.StatusRequestTimeout},
+		{"large head", "GET / HTTP/1.1\r\nHost: h\r\nX: " + large, http.StatusRequestHeaderFieldsTooLarge},
+		{"large request line", "GET /" + large, http.StatusRequestHeaderFieldsTooLarge},
+		{"large body", head + "Content-Length: 2097152\r\n\r\n" + large, http.StatusRequestEntityTooLarge},
+		{"large trailer", chunked + "\r\n0\r\nX: " + large, http.StatusBadRequest},
+		{"long chunk line", chunked + "\r\n1;" + large, http.StatusBadRequest},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			address, s := startRecording(t)
+			statuses, closed := exchange(t, address, []string{tc.input}, http.MethodPost, time.Second)
+			if len(statuses) != 1 || statuses[0] != tc.want || !closed || len(s.list()) != 0 {
+				t.Errorf("statuses %v, closed %t, requests %d; want %d", statuses, closed, len(s.list()), tc.want)
+			}
+		})
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -155,7 +155,7 @@
 	}
 	s.mu.Unlock()
 	if s.openConns.Add(1) > int64(s.opts.Limits().MaxConnections) {
-		go func() { _ = c.reject(refusal.New(refusal.TooManyConnections, "too many connections are open")) }()
+		c.refused = refusal.New(refusal.TooManyConnections, "too many connections are open")
 	}
 }
 
