Tell callers that wait for it to send their body

A caller that sent "Expect: 100-continue" got no answer until it sent the body unasked, or until the read timeout with 408.

Cause: nbhttp doesn't know the field.

Change: the server answers 100 once it has accepted the head, unless part of the body is already there. A body that is too large is refused in place of that.

Evidence: two cases of TestExpectContinue failed before (nothing came for 0.5 s).

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -24,6 +24,9 @@
 // endOfHead ends the head of an HTTP/1 request.
 var endOfHead = []byte("\r\n\r\n")
 
+// continueResponse tells a caller that waits for it to send the body.
+var continueResponse = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+
 var (
 	// errRejected stops reading from a connection whose request was refused.
 	errRejected = errors.New("request refused")
@@ -164,6 +167,10 @@
 	if refused != nil {
 		return c.reject(refused)
 	}
+	if h.continues && c.in.Buffered() == 0 {
+		c.extendWriteDeadline(limits.WriteTimeout)
+		_, _ = c.Conn.Write(continueResponse) // an error recurs when the body is read
+	}
 	c.out, c.length = h.bytes, h.length
 	if h.length < 0 {
 		c.chunks, c.decoded = httputil.NewChunkedReader(c.in), 0
@@ -238,6 +245,13 @@
 	return nil
 }
 
+// extendWriteDeadline sets the write deadline to timeout from now, if it isn't 0.
+func (c *conn) extendWriteDeadline(timeout time.Duration) {
+	if timeout > 0 {
+		_ = c.tcp.SetWriteDeadline(time.Now().Add(timeout))
+	}
+}
+
 // startReadAhead reads from the connection while a handler runs, as net/http
 // does, and calls cancel when the caller disconnects.
 func (c *conn) startReadAhead(cancel context.CancelFunc) {
--- a/internal/server/limits_test.go
+++ b/internal/server/limits_test.go
@@ -56,6 +56,58 @@
 	}
 }
 
+// Guards against a caller that waits for permission to send its body until it gives
+// up.
+func TestExpectContinue(t *testing.T) {
+	for _, tc := range []struct {
+		name, head, first string
+	}{
+		{"body", "Content-Length: 4\r\nExpect: 100-continue\r\n", "HTTP/1.1 100 Continue\r\n"},
+		{"chunks", "Transfer-Encoding: chunked\r\nExpect: 100-Continue\r\n", "HTTP/1.1 100 Continue\r\n"},
+		{"too large", "Content-Length: 99999999\r\nExpect: 100-continue\r\n", "HTTP/1.1 413 Request Entity Too Large\r\n"},
+		{"no body", "Expect: 100-continue\r\n", "HTTP/1.1 200 OK\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := startServer(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+			_ = get(t, c, "/")
+			time.Sleep(2 * testWriteTimeout) // the deadline of the first response must not apply
+			_, _ = io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n"+tc.head+"\r\n")
+			in := bufio.NewReader(c)
+			_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+			line, err := in.ReadString('\n')
+			if line != tc.first {
+				t.Fatalf("%q %v", line, err)
+			}
+			if !strings.Contains(line, "100") {
+				return
+			}
+			_, _ = in.ReadString('\n')
+			if strings.Contains(tc.head, "chunked") {
+				_, _ = io.WriteString(c, "4\r\nbody\r\n0\r\n\r\n")
+			} else {
+				_, _ = io.WriteString(c, "body")
+			}
+			res, err := http.ReadResponse(in, nil)
+			if err != nil || res.StatusCode != http.StatusOK {
+				t.Fatalf("%v %v", res, err)
+			}
+			if body, _ := io.ReadAll(res.Body); string(body) != "body" {
+				t.Errorf("%q", body)
+			}
+		})
+	}
+}
+
+// Guards against a permission that comes though the body does too, and shifts the
+// responses of the connection.
+func TestNoContinueForABodyThatIsThere(t *testing.T) {
+	c := startServer(t, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+	got := readAll(t, c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\nbody")
+	if !strings.HasPrefix(got, "HTTP/1.1 200 OK\r\n") {
+		t.Errorf("%q", got)
+	}
+}
+
 // Guards against callers without an answer, or with a promise that isn't true, when
 // they are slow or send too much.
 func TestSlowAndLargeRequests(t *testing.T) {
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -165,9 +165,7 @@
 	if w.err != nil {
 		return w.err
 	}
-	if w.timeout > 0 {
-		_ = w.conn.tcp.SetWriteDeadline(time.Now().Add(w.timeout))
-	}
+	w.conn.extendWriteDeadline(w.timeout)
 	if _, err := w.conn.Write(w.out); err != nil {
 		w.err = fmt.Errorf("write to caller: %w", err)
 	}
