Let callers read the last response of a connection

A caller whose connection was closed after a response lost the rest of it if it had sent its next request early: 114,688 of 1,048,576 bytes came, then a reset.

Cause: a close with unread bytes, or bytes that arrive after it, reset the connection, and the kernel drops what it has not sent yet.

Change: after the last response only the sending side is closed. The next read discards what still comes, for at most 0.5 s, as it does for refused requests.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -34,11 +34,6 @@
 	errAborted = errors.New("the response was aborted")
 )
 
-// lingerTimeout is how long a refused caller may keep sending before its
-// connection is closed. Closing at once would reset the connection before the
-// caller has read the response.
-const lingerTimeout = 500 * time.Millisecond
-
 const (
 	readBuffer  = 2 << 10  // bytes read ahead of each connection
 	chunkBuffer = 4 << 10  // bytes of a chunked body passed to nbhttp at once
@@ -140,6 +135,7 @@
 // readHead waits for a request, reads its head and prepares for its body.
 func (c *conn) readHead() error {
 	if c.ended.Load() {
+		c.linger()
 		return net.ErrClosed
 	}
 	if c.readError != nil {
@@ -285,10 +281,11 @@
 	_ = c.tcp.SetReadDeadline(time.Time{})
 }
 
-// end closes the connection after a complete response.
+// end closes the sending side after a complete response. The connection is closed by
+// the next Read.
 func (c *conn) end() {
 	c.ended.Store(true)
-	_ = c.Conn.Close()
+	c.closeWrite()
 }
 
 // abort closes the connection at once. Requests that were read ahead are dropped.
@@ -315,8 +312,9 @@
 		ContentLength: int64(len(body)),
 		Body:          bodyReader(body),
 	}
-	_ = c.tcp.SetDeadline(time.Now().Add(lingerTimeout))
+	c.extendWriteDeadline(lingerTimeout)
 	_ = res.Write(c.Conn)
+	c.closeWrite()
 	c.linger()
 	if c.server.opts.Refused != nil {
 		c.server.opts.Refused(c.tcp.RemoteAddr().String(), r)
