--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -4,8 +4,9 @@
 //
 // In the blocking mode a write waits until the caller reads; the non-blocking
 // mode closes the connection of a caller that reads slowly. Each connection's
-// net.Conn is replaced by a conn of this package, which checks the limits before
-// nbhttp's parser sees the data. TLS is that of crypto/tls, below nbhttp.
+// net.Conn is replaced by a conn of this package, which checks syntax and limits of
+// each request before nbhttp's parser sees it. TLS is that of crypto/tls, below
+// nbhttp.
 package server
 
 import (
@@ -15,6 +16,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -153,7 +155,7 @@
 	}
 	s.mu.Unlock()
 	if s.openConns.Add(1) > int64(s.opts.Limits().MaxConnections) {
-		go func() { _ = c.reject(refusal.New(refusal.TooManyConnections, "too many connections are open")) }()
+		c.refused = refusal.New(refusal.TooManyConnections, "too many connections are open")
 	}
 }
 
@@ -185,15 +187,35 @@
 	if !ok {
 		return
 	}
+	if !c.whole() {
+		c.abort(false) // nbhttp's parser ended the request before conn did
+		return
+	}
+	trimValues(r)
+	_, _, _ = res.Hijack() // Writer writes the response
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
 	c.handling.Store(true)
 	defer c.handling.Store(false)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	out := newWriter(c, r, s.opts.Limits().WriteTimeout)
 	c.startReadAhead(cancel)
-	defer c.stopReadAhead()
-	out := &Writer{res: res, request: r, conn: c, timeout: s.opts.Limits().WriteTimeout}
+	defer func() {
+		c.stopReadAhead()
+		out.finish()
+	}()
+	defer out.abortOnPanic()
 	s.opts.Handler.ServeHTTP(out, r.WithContext(ctx))
-	out.extendDeadline() // nbhttp writes the end of the response after the handler
+}
+
+// trimValues removes the optional white space around header values, of which nbhttp
+// removes only leading spaces.
+func trimValues(r *http.Request) {
+	for _, values := range r.Header {
+		for i, v := range values {
+			values[i] = textproto.TrimString(v)
+		}
+	}
+	r.Host = textproto.TrimString(r.Host)
 }
