Let the stand-in of plain services refuse, fail and cross calls

The stand-in could only reset connections and be slow. It refuses calls before they run now, answers calls that ran with 503, and answers with the refusal of another call; POST /faults sets these faults in the demo's processes too. The contract test of plain services has a case for each on both kinds of routes.

--- a/internal/daemon/contract_test.go
+++ b/internal/daemon/contract_test.go
@@ -194,6 +194,13 @@
 		"once, reset before run": {"/credit", fakeservice.Faults{ResetBefore: 1}, 502, "unknown", 0},
 		"once, reset after run":  {"/credit", fakeservice.Faults{ResetAfter: 1}, 502, "unknown", 1},
 		"once, service is slow":  {"/credit", fakeservice.Faults{SlowMS: 1}, 200, "", 1},
+		"repeatable, refused":    {"/stock", fakeservice.Faults{Refuse: 1}, 200, "", 1},
+		"repeatable, overloaded": {"/stock", fakeservice.Faults{Overload: 1}, 503, "unknown", 1},
+		"repeatable, crossed":    {"/stock", fakeservice.Faults{Cross: 1}, 200, "", 2},
+		"once, refused":          {"/credit", fakeservice.Faults{Refuse: 1}, 200, "", 1},
+		"once, always refused":   {"/credit", fakeservice.Faults{Refuse: 9}, 502, "not-run", 0},
+		"once, overloaded":       {"/credit", fakeservice.Faults{Overload: 1}, 502, "unknown", 1},
+		"once, crossed":          {"/credit", fakeservice.Faults{Cross: 1}, 502, "unknown", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			ledger := fakeservice.New("ledger")
--- a/internal/fake/fakeservice/fakeservice.go
+++ b/internal/fake/fakeservice/fakeservice.go
@@ -15,6 +15,9 @@
 type Faults struct {
 	ResetBefore int `json:"reset_before"` // number of calls to abort before they run
 	ResetAfter  int `json:"reset_after"`  // number of calls to run and abort before the response
+	Refuse      int `json:"refuse"`       // number of calls to refuse with 503 and the statement that they did not run
+	Overload    int `json:"overload"`     // number of calls to run and answer with 503
+	Cross       int `json:"cross"`        // number of calls to run and answer with a refusal of another call
 	SlowMS      int `json:"slow_ms"`      // milliseconds before a call runs
 }
 
@@ -84,42 +87,63 @@
 	if err != nil {
 		return
 	}
-	delay, abort := s.takeFaultBefore()
-	time.Sleep(delay)
-	if abort {
+	time.Sleep(s.delay())
+	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	switch {
+	case s.takeFault(func(f *Faults) *int { return &f.ResetBefore }):
 		fakehttp.Abort()
+	case s.takeFault(func(f *Faults) *int { return &f.Refuse }):
+		refuse(w)
+		return
 	}
 	key := r.Header.Get("Idempotency-Key")
-	runs, abort := s.run(r.Method, key)
-	if abort {
+	runs := s.run(r.Method, key)
+	switch {
+	case s.takeFault(func(f *Faults) *int { return &f.ResetAfter }):
 		fakehttp.Abort()
+	case s.takeFault(func(f *Faults) *int { return &f.Overload }):
+		http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		return
+	case s.takeFault(func(f *Faults) *int { return &f.Cross }):
+		w.Header().Set("X-Request-Id", "another-request")
+		refuse(w)
+		return
 	}
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	fakehttp.WriteJSON(w, http.StatusOK, Response{s.name, r.URL.Path, key, runs, len(body)})
 }
 
-// takeFaultBefore returns the delay of a call and whether to abort it before it
-// runs.
-func (s *Service) takeFaultBefore() (delay time.Duration, abort bool) {
+// refuse responds with 503 and the statement that the call did not run.
+func refuse(w http.ResponseWriter) {
+	w.Header().Set("X-Effect", "not-run")
+	http.Error(w, "refused", http.StatusServiceUnavailable)
+}
+
+// delay returns the time to wait before a call runs.
+func (s *Service) delay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.faults.SlowMS) * time.Millisecond
+}
+
+// takeFault takes one fault from the count that field selects, and reports whether
+// there was one.
+func (s *Service) takeFault(field func(*Faults) *int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	abort = s.faults.ResetBefore > 0
-	if abort {
-		s.faults.ResetBefore--
+	n := field(&s.faults)
+	if *n <= 0 {
+		return false
 	}
-	return time.Duration(s.faults.SlowMS) * time.Millisecond, abort
+	*n--
+	return true
 }
 
-// run counts a call and reports whether to abort its response.
-func (s *Service) run(method, key string) (runs int, abort bool) {
+// run counts a call and returns the runs with its key.
+func (s *Service) run(method, key string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if method != http.MethodGet {
 		s.runs[key]++
 	}
-	abort = s.faults.ResetAfter > 0
-	if abort {
-		s.faults.ResetAfter--
-	}
-	return s.runs[key], abort
+	return s.runs[key]
 }
