End each request whose upstream leaves HTTP

Callers of the product's own mode would wait for ever, past their deadline, when an engine or a plain service answers 101 Switching Protocols, and so would polls of engines and orders, which were never repeated: net/http hands out the connection as the body of such a response, which no deadline ends.

Change: RoundTrip closes the connection and returns an error after which the request counts as sent. This covers requests in both modes and all calls made with RoundTrip.

Ruled out by TestSpoiledResponsesOfRequests: endless heads, informational responses, bodies, chunk extensions and trailers, silence and trickling end with the limits or the deadline, and their connections are closed.

Evidence: before, the cases 101 of TestSpoiledResponsesOfRequests fail for engines and services, answers and streams; all cases pass after.

Conclusion: the gateway's own check of the status is now a second one.

--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -47,9 +48,18 @@
 		return nil, &SendError{Sent: s.seal(), Reused: s.reused, Err: err}
 	}
 	res.Body = &cancellingBody{ReadCloser: res.Body, cancel: cancel}
-	return &Reply{Response: res, Reused: s.reused, conn: s.conn}, nil
+	reply := &Reply{Response: res, Reused: s.reused, conn: s.conn}
+	if res.StatusCode == http.StatusSwitchingProtocols {
+		reply.Discard()
+		return nil, &SendError{Sent: true, Reused: s.reused, Err: errSwitched}
+	}
+	return reply, nil
 }
 
+// errSwitched is the error of a response after which the connection speaks another
+// protocol. net/http hands out the connection as its body, which no deadline ends.
+var errSwitched = fmt.Errorf("%w: it switches to another protocol", ErrMalformed)
+
 // cancellingBody releases the context of a request when its response is closed.
 type cancellingBody struct {
 	io.ReadCloser
