Believe a state of an engine, or a refusal, only if it is one

What callers and operators would see in the product's own mode: '{}' or another call's response counted as the state of an engine without weights and load, so requests went elsewhere or orders were given again. After a 500, 502, 504 or a success of another kind an order counted as refused, and the next one was sent at once although the first might still arrive. A body longer than the limit was cut at it and taken for a whole one.

Cause: responses were decoded without asking for their fields, each status other than 200 was a StatusError, which means a refusal to the planner of orders, and io.LimitReader ends a body silently.

Change: a state needs incarnation, weights, fencing and load; cache events need incarnation, next and events. Only 4xx and 503 are refusals. Bodies are read whole or not at all.

--- a/internal/httpbody/httpbody.go
+++ b/internal/httpbody/httpbody.go
@@ -10,7 +10,7 @@
 	"net/http"
 )
 
-// Errors of Read and ReadJSON, for use with errors.Is.
+// Errors of this package, for use with errors.Is.
 var (
 	// ErrTooLong: the body is longer than the limit.
 	ErrTooLong = errors.New("the body is longer than the limit")
@@ -38,7 +38,12 @@
 	if res.ContentLength > limit {
 		return nil, fmt.Errorf("%w: %d of at most %d bytes", ErrTooLong, res.ContentLength, limit)
 	}
-	data, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
+	return ReadAll(res.Body, limit)
+}
+
+// ReadAll returns all of r, which is at most limit bytes long.
+func ReadAll(r io.Reader, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
 		return nil, err
 	}
@@ -64,3 +69,21 @@
 	}
 	return nil
 }
+
+// DecodeObject decodes the JSON object in data into out. The object must have all the
+// required fields, by which it is told from the response to another call.
+func DecodeObject(data []byte, out any, required ...string) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotJSON, err)
+	}
+	for _, name := range required {
+		if _, ok := fields[name]; !ok {
+			return fmt.Errorf("%w: field %q is missing", ErrNotJSON, name)
+		}
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("%w: %w", ErrNotJSON, err)
+	}
+	return nil
+}
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -6,11 +6,12 @@
 	"crypto/rand"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
+
+	"currantpulley/internal/httpbody"
 )
 
 // Header fields of the engine API.
@@ -107,10 +108,13 @@
 	return nil
 }
 
+// stateFields are fields of every state.
+var stateFields = []string{"incarnation", "weights", "fencing", "load"}
+
 // State implements Engine.
 func (e *HTTPEngine) State(ctx context.Context, address string) (*State, error) {
 	var s State
-	return &s, e.call(ctx, http.MethodGet, "http://"+address+"/engine/state", nil, &s)
+	return &s, e.call(ctx, http.MethodGet, "http://"+address+"/engine/state", nil, &s, stateFields...)
 }
 
 // Order implements Engine.
@@ -120,18 +124,20 @@
 		return nil, err
 	}
 	var s State
-	return &s, e.call(ctx, http.MethodPost, "http://"+address+"/engine/orders", body, &s)
+	return &s, e.call(ctx, http.MethodPost, "http://"+address+"/engine/orders", body, &s, stateFields...)
 }
 
 // CacheEvents implements Engine.
 func (e *HTTPEngine) CacheEvents(ctx context.Context, address string, from uint64, sample int) (*CacheEvents, error) {
 	var c CacheEvents
 	u := fmt.Sprintf("http://%s/engine/cache-events?from=%d&sample=%d", address, from, sample)
-	return &c, e.call(ctx, http.MethodGet, u, nil, &c)
+	return &c, e.call(ctx, http.MethodGet, u, nil, &c, "incarnation", "next", "events")
 }
 
-// call sends a request and decodes the JSON response into out.
-func (e *HTTPEngine) call(ctx context.Context, method, u string, body []byte, out any) error {
+// call sends a request and decodes the JSON response into out. The response must have
+// all the required fields. The error is a *StatusError only if the engine refused the
+// call; after another one it may have carried it out.
+func (e *HTTPEngine) call(ctx context.Context, method, u string, body []byte, out any, required ...string) error {
 	req, err := http.NewRequestWithContext(ctx, method, u, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -141,19 +147,28 @@
 		return err
 	}
 	defer res.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxControlBytes))
+	data, err := httpbody.ReadAll(res.Body, maxControlBytes)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
-	if res.Status != http.StatusOK {
+	if refuses(res.Status) {
 		return &StatusError{Status: res.Status, Message: strings.TrimSpace(string(data))}
 	}
-	if err := json.Unmarshal(data, out); err != nil {
+	if res.Status != http.StatusOK {
+		return fmt.Errorf("%w: unexpected status %d", ErrMalformed, res.Status)
+	}
+	if err := httpbody.DecodeObject(data, out, required...); err != nil {
 		return fmt.Errorf("%w: %w", ErrMalformed, err)
 	}
 	return nil
 }
 
+// refuses reports whether a status tells that the engine did not carry out the call:
+// 4xx and 503.
+func refuses(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+}
+
 // streamURL returns the URL of the stream of request id.
 func streamURL(address, id string) string {
 	return "http://" + address + "/v1/streams/" + url.PathEscape(id)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -110,7 +110,7 @@
 	return true
 }
 
-// StatusError is a response with an unexpected status.
+// StatusError is a response by which an upstream refused a call.
 type StatusError struct {
 	Status  int
 	Message string
