Bound and check the responses of the platform's log and VM list

What operators would see: after a 101 of the log, reads of the configuration, appends and the read of the first offset hung for good. '{}' or another call's response to a read proved that no newer record exists, and to a read of the bounds that the log is empty; 'null' was a list without VMs. A refusal was reported only once its body had ended, of which up to 64 MiB were read. The VM list was read from wherever a redirect pointed to.

Cause: bodies were read with io.LimitReader and json.Decoder, which neither notice what follows nor ask for fields, refusals' bodies were drained, heads were read up to the default of 10 MB, and httpvms used http.DefaultClient.

Ruled out: endless bodies, chunk extensions and trailers, silence and trickling end with the limits or the call's context. An append was not repeated by net/http (its request has no GetBody).

Change: both adapters use httpclient (no redirects, heads up to 64 KiB) and httpbody (whole bodies, required fields). A refusal closes its connection instead of draining it: one new connection for a rare response.

Evidence: before, these fail: 101 in TestSpoiledResponsesOfTheLog, all cases of TestHeadOfTheLogIsBounded, TestHeadIsBounded and TestBodyOfARefusalIsNotAwaited, 12 pairs of TestResponseToAnotherCallIsNotBelieved, 2 of TestResponseThatIsNoList, TestRedirectIsNotFollowed and TestListOfTheLimit. They pass after, as do publish, calls, lease, cli and daemon.

Conclusion: each call of the adapters ends with its context.

--- a/internal/backing/httplog/httplog.go
+++ b/internal/backing/httplog/httplog.go
@@ -4,9 +4,7 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -16,7 +14,9 @@
 	"time"
 
 	"currantpulley/internal/backing"
+	"currantpulley/internal/backing/httpclient"
 	"currantpulley/internal/failure"
+	"currantpulley/internal/httpbody"
 )
 
 const (
@@ -35,14 +35,9 @@
 var _ backing.Log = (*Log)(nil)
 
 // New returns a Log at the URL base, such as "http://10.0.0.1:9000". It uses a copy
-// of client, or a new client if client is nil. Redirects are never followed.
+// of client, see httpclient.New.
 func New(base string, client *http.Client) *Log {
-	own := http.Client{}
-	if client != nil {
-		own = *client
-	}
-	own.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Log{base: strings.TrimRight(base, "/"), client: &own}
+	return &Log{base: strings.TrimRight(base, "/"), client: httpclient.New(client)}
 }
 
 // url returns the URL of a stream, followed by the strings in more.
@@ -77,7 +72,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", backing.ErrUnknownOutcome, err)
 	}
-	defer closeBody(resp)
+	defer func() { _ = resp.Body.Close() }()
 	if rejected(resp.StatusCode) {
 		return 0, fmt.Errorf("%w: status %s", backing.ErrUnavailable, resp.Status)
 	}
@@ -87,7 +82,7 @@
 	var response struct {
 		Offset uint64 `json:"offset"`
 	}
-	if err := decode(resp.Body, &response); err != nil {
+	if err := decode(resp, &response, "offset"); err != nil {
 		return 0, fmt.Errorf("%w: %w", backing.ErrUnknownOutcome, err)
 	}
 	if response.Offset == 0 {
@@ -116,7 +111,7 @@
 			Data   []byte    `json:"data"`
 		} `json:"records"`
 	}
-	if err := l.get(ctx, l.url(stream, "?", query.Encode()), &response); err != nil {
+	if err := l.get(ctx, l.url(stream, "?", query.Encode()), &response, "records"); err != nil {
 		return nil, failure.At(stepRead, l.base, err)
 	}
 	records := make([]backing.Record, 0, len(response.Records))
@@ -135,14 +130,18 @@
 		First uint64 `json:"first"`
 		Next  uint64 `json:"next"`
 	}
-	if err := l.get(ctx, l.url(stream, "/bounds"), &response); err != nil {
+	if err := l.get(ctx, l.url(stream, "/bounds"), &response, "first", "next"); err != nil {
 		return 0, 0, failure.At(stepBounds, l.base, err)
 	}
+	if response.First > response.Next {
+		return 0, 0, failure.Atf(stepBounds, l.base, "%w: the first offset is %d, the next %d", backing.ErrUnavailable, response.First, response.Next)
+	}
 	return response.First, response.Next, nil
 }
 
-// get sends a GET request and decodes the JSON response into response.
-func (l *Log) get(ctx context.Context, address string, response any) error {
+// get sends a GET request and decodes the JSON response into response. It must have all
+// the required fields.
+func (l *Log) get(ctx context.Context, address string, response any, required ...string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
 		return fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
@@ -151,7 +150,7 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 	}
-	defer closeBody(resp)
+	defer func() { _ = resp.Body.Close() }()
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusGone:
@@ -159,22 +158,20 @@
 	default:
 		return fmt.Errorf("%w: status %s", backing.ErrUnavailable, resp.Status)
 	}
-	if err := decode(resp.Body, response); err != nil {
+	if err := decode(resp, response, required...); err != nil {
 		return fmt.Errorf("%w: %w", backing.ErrUnavailable, err)
 	}
 	return nil
 }
 
-func decode(r io.Reader, response any) error {
-	if err := json.NewDecoder(io.LimitReader(r, maxResponse)).Decode(response); err != nil {
+// decode decodes the JSON body of resp into response.
+func decode(resp *http.Response, response any, required ...string) error {
+	data, err := httpbody.Read(resp, maxResponse)
+	if err != nil {
+		return fmt.Errorf("read response: %w", err)
+	}
+	if err := httpbody.DecodeObject(data, response, required...); err != nil {
 		return fmt.Errorf("decode response: %w", err)
 	}
 	return nil
 }
-
-// closeBody drains the rest of the body, so that the connection can be reused, and
-// closes it.
-func closeBody(resp *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponse))
-	_ = resp.Body.Close()
-}
--- a/internal/backing/httpvms/httpvms.go
+++ b/internal/backing/httpvms/httpvms.go
@@ -5,12 +5,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
 	"currantpulley/internal/backing"
+	"currantpulley/internal/backing/httpclient"
 	"currantpulley/internal/failure"
+	"currantpulley/internal/httpbody"
 )
 
 const (
@@ -26,13 +27,10 @@
 
 var _ backing.VMList = (*List)(nil)
 
-// New returns a List at the URL base, such as "http://10.0.0.1:9000". A nil client
-// means http.DefaultClient.
+// New returns a List at the URL base, such as "http://10.0.0.1:9000". It uses a copy
+// of client, see httpclient.New.
 func New(base string, client *http.Client) *List {
-	if client == nil {
-		client = http.DefaultClient
-	}
-	return &List{base: strings.TrimRight(base, "/"), client: client}
+	return &List{base: strings.TrimRight(base, "/"), client: httpclient.New(client)}
 }
 
 // List implements backing.VMList.
@@ -57,10 +55,17 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("status %s", resp.Status)
 	}
+	data, err := httpbody.Read(resp, maxResponse)
+	if err != nil {
+		return nil, fmt.Errorf("read response: %w", err)
+	}
 	var vms []backing.ListedVM
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponse)).Decode(&vms); err != nil {
+	if err := json.Unmarshal(data, &vms); err != nil {
 		return nil, fmt.Errorf("decode response: %w", err)
 	}
+	if vms == nil {
+		return nil, fmt.Errorf("the response is no list")
+	}
 	for _, vm := range vms {
 		if vm.Name == "" || vm.PeerAddress == "" {
 			return nil, fmt.Errorf("a listed VM has no name or no peer address")
--- a/internal/fake/spoiled/spoiled.go
+++ b/internal/fake/spoiled/spoiled.go
@@ -147,19 +147,25 @@
 	}
 }
 
+// Heads returns responses to a call whose heads don't end. head is as for Responses.
+func Heads(head string) []Response {
+	return []Response{
+		{"endless status line", then("", "HTTP/1.1 200 OK")},
+		{"endless field", then(head+"Field: ", "x")},
+		{"endless fields", then(head, "Field: x\r\n")},
+		{"endless 100 Continue", then("", "HTTP/1.1 100 Continue\r\n\r\n")},
+	}
+}
+
 // Responses returns spoiled responses to a call whose right response begins with head:
 // the status line and header fields, each with its end of line, but no framing. Bodies
 // consist of white space, which JSON may begin with.
 func Responses(head string) []Response {
 	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
 	switched := "HTTP/1.1 101 x\r\nConnection: Upgrade\r\nUpgrade: x\r\n" + strings.SplitN(head, "\r\n", 2)[1] + "\r\n"
-	return []Response{
+	return append(Heads(head), []Response{
 		{"silence", func(io.Writer) {}},
 		{"not HTTP", func(w io.Writer) { _, _ = io.WriteString(w, "\x00 no response\r\n\r\n") }},
-		{"endless status line", then("", "HTTP/1.1 200 OK")},
-		{"endless field", then(head+"Field: ", "x")},
-		{"endless fields", then(head, "Field: x\r\n")},
-		{"endless 100 Continue", then("", "HTTP/1.1 100 Continue\r\n\r\n")},
 		{"101, then silence", func(w io.Writer) { _, _ = io.WriteString(w, switched) }},
 		{"101, then bytes without end", then(switched, " ")},
 		{"endless body", then(head+"\r\n", " ")},
@@ -175,7 +181,7 @@
 			_, _ = io.WriteString(w, head+"Content-Length: 100000\r\n\r\n")
 			Trickle(w, " ", tricklePause)
 		}},
-	}
+	}...)
 }
 
 // Call makes a call to a peer and reports whether it took what came for a response.
