Close connections whose callers have gone

A daemon kept a socket for each caller that had closed its connection, and for each one that was idle for too long, until a garbage collection closed it; descriptors are limited per process.

Cause: nbhttp's blocking reader forgets a connection after a read error but doesn't close it.

Change: conn closes it with the read error.

Evidence: TestConnectionIsClosedAfterItsCaller failed before ("i/o timeout" after 0.5 s).

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -126,9 +126,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.started {
 		_ = c.reject(refusal.New(refusal.RequestTimeout, "the request was not sent in time"))
 	}
-	if c.Conn != c.tcp {
-		_ = c.Conn.Close()
-	}
+	_ = c.Conn.Close() // nbhttp doesn't
 	c.nbConn.Conn = c.tcp
 }
 
--- a/internal/server/pipeline_test.go
+++ b/internal/server/pipeline_test.go
@@ -156,3 +156,21 @@
 		}
 	}
 }
+
+// Guards against connections that use up file descriptors after their callers have
+// gone, until the garbage collector closes them.
+func TestConnectionIsClosedAfterItsCaller(t *testing.T) {
+	address, _ := startRecording(t)
+	for _, sent := range []string{"", second, second[:9]} {
+		c := dial(t, address)
+		_, _ = io.WriteString(c, sent)
+		time.Sleep(10 * time.Millisecond)
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		_ = c.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+		if _, err := io.Copy(io.Discard, c); err != nil {
+			t.Errorf("after %q: %v", sent, err)
+		}
+	}
+}
