Keep the retry budget while daemons see different numbers of each other

Upstreams would count more repeats than the budget allows around starts, restarts, pauses and partitions, although each daemon keeps its own part.

Cause: a daemon's part was the common allowance divided by the daemons that it saw at that moment, and its window forgot everything at a restart. The ratio had the same fault in time: repeats were compared with the requests of the last span only, so a span that begins between two bursts held the repeats of both. Repeats counted when they were decided, and on the wall clock.

Ruled out: a call to a counter per request or at a start; parts by ranks in the list of daemons, as ranks differ with the views; the larger of two spans at each daemon, as the sum of these exceeds the larger sum.

Requests that may have waited while the process was paused are not counted. The clock counts the time in suspend.

--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -118,6 +118,10 @@
 // Live returns the number of daemons that may be serving, this one included.
 func (p *Peers) Live() int { return max(1, len(p.View().Live())) }
 
+// Known returns the number of daemons that are known, this one included. It has those
+// that are leaving, and for a while those that no longer answer.
+func (p *Peers) Known() int { return max(1, len(p.View().VMs)) }
+
 // OnOrder sets the function that is called for each order of another daemon to an
 // engine. Orders that arrive before the call are not reported.
 func (p *Peers) OnOrder(f func(k catalog.Key, token uint64, open bool)) { p.onOrder.Store(&f) }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,7 +92,21 @@
 	if !f.notRun && (!q.route.MayRepeat() || q.runs >= q.route.MaxAttempts) {
 		return false
 	}
-	return !f.sent || f.budgeted || g.opts.Retries.Allow(q.service.Name)
+	return !f.sent || f.budgeted || g.allowRepeat(q)
+}
+
+// errRepeatHeldUp is the error of a repeat that the retry budget no longer allows
+// because this process was paused before it was sent.
+var errRepeatHeldUp = errors.New("the repeat was held up for too long")
+
+// allowRepeat takes a further send of the request from the retry budget of its
+// service, and reports whether one was allowed.
+func (g *Gateway) allowRepeat(q *request) bool {
+	permit, ok := g.opts.Retries.Allow(q.service.Name)
+	if ok {
+		q.permit = permit
+	}
+	return ok
 }
 
 // refusalFor returns the error of a request whose last attempt failed with f:
@@ -135,6 +149,10 @@
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
 		return nil, err
 	}
+	if !g.opts.Retries.Confirm(&q.permit) {
+		g.opts.Balancer.Done(pick, balance.Cancelled, now)
+		return nil, errRepeatHeldUp
+	}
 	g.countSend(q, pick)
 	err := g.send(q, a, o)
 	if err == nil {
@@ -317,7 +335,7 @@
 	if a.response.Header.Get("Content-Encoding") != "" {
 		return &failedAttempt{sent: true, err: fmt.Errorf("%w: the response has a content encoding that was not asked for", upstream.ErrMalformed)}
 	}
-	if status >= http.StatusInternalServerError && q.route.MayRepeat() && q.runs < q.route.MaxAttempts && g.opts.Retries.Allow(q.service.Name) {
+	if status >= http.StatusInternalServerError && q.route.MayRepeat() && q.runs < q.route.MaxAttempts && g.allowRepeat(q) {
 		return &failedAttempt{sent: true, budgeted: true, err: fmt.Errorf("the upstream answered with status %d", status)}
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -92,9 +92,10 @@
 	workspace *catalog.Workspace // nil on a public route without a key
 	headSent  bool               // the status line was sent to the caller
 
-	tried []catalog.Key
-	sends int // attempts that may have reached an upstream
-	runs  int // of these, attempts that may have run
+	tried  []catalog.Key
+	permit retry.Permit // of the latest repeat
+	sends  int          // attempts that may have reached an upstream
+	runs   int          // of these, attempts that may have run
 
 	lastRelayed uint64 // id of the last stream event that the caller has
 	software    string // version of the upstream that sent the first event of this response
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -139,7 +139,9 @@
 		Dialect: dialect{}, Watcher: f.watcher, Balancer: balance.New(balance.Options{}),
 		Transport: upstream.NewTransport(), Recorder: f.record, Proof: f.proof, MaxProofAge: time.Minute,
 		StaleWeightsCut: f.staleWeightsCut, Origins: f.origins,
-		Retries: retry.NewWindows(time.Now, 10*time.Second, 0.2, 100, func() int { return 1 }),
+		Retries: retry.NewWindows(retry.Options{
+			Clock: freshness.Time, Span: 10 * time.Second, Ratio: 0.2, Extra: 100, Part: func() float64 { return 1 }, Stale: func() bool { return false },
+		}),
 	})
 	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Handler: f.gateway, Limits: func() server.Limits {
 		return server.Limits{MaxBody: 1 << 20, MaxHeader: 1 << 14, MaxConnections: 100, ReadTimeout: time.Second, WriteTimeout: time.Second}
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -22,7 +22,10 @@
 		now := time.Unix(1000, 0)
 		var all []*Window
 		for range daemons {
-			all = append(all, NewWindow(func() time.Time { return now }, span, ratio, extra, func() int { return daemons }))
+			all = append(all, NewWindow(Options{
+				Clock: func() time.Time { return now }, Span: span, Ratio: ratio, Extra: extra,
+				Part: func() float64 { return 1 / float64(daemons) }, Stale: never,
+			}))
 		}
 		const tick = 100 * time.Millisecond
 		var requests, extras []int
@@ -65,3 +68,18 @@
 	}
 	return true
 }
+
+// The clock begins with the VM's boot, so the first buckets have small numbers.
+func TestWindowWorksRightAfterBoot(t *testing.T) {
+	now := time.Unix(0, 0)
+	w := NewWindow(Options{
+		Clock: func() time.Time { return now }, Span: 10 * time.Second, Extra: 1000,
+		Part: func() float64 { return 1 }, Stale: never,
+	})
+	for range 300 {
+		if !w.Allow() {
+			t.Fatalf("no extra attempt is allowed %v after boot", now.Sub(time.Unix(0, 0)))
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+}
