Forward the path of a call as the caller wrote it

A call to /stock/a%3Fb reached the service as /stock/a?b, one to /stock/a%2Fb as /stock/a/b, one to /stock/a%23b as /stock/a, and one to /stock/a%25b was refused: an action could run on another resource than its caller named.

Cause: the exchange holds the decoded path only, which was put into the URL of the upstream's request as it was.

The exchange keeps the raw path where it differs and forwards the escaped one.

Evidence: TestEscapedPathReachesTheServiceUnchanged failed before for four of five paths and passes now.

Conclusion: a call runs on the resource that it names.

--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -64,7 +64,7 @@
 		return nil, refusal.New(refusal.BadRequest, "the body could not be read").WithCause(err)
 	}
 	x.Ctx, x.Snap, x.Writer = r.Context(), snap, w
-	x.Method, x.Path, x.Query = r.Method, r.URL.Path, r.URL.RawQuery
+	x.Method, x.Path, x.RawPath, x.Query = r.Method, r.URL.Path, r.URL.RawPath, r.URL.RawQuery
 	x.Header, x.Body = r.Header, body
 	return x, nil
 }
--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -371,3 +371,19 @@
 		}
 	}
 }
+
+// Guards against a call that reaches another resource than its caller named, or none.
+func TestEscapedPathReachesTheServiceUnchanged(t *testing.T) {
+	var target string
+	u := newRawUpstream(t, func(w io.Writer, r *http.Request, _ int) bool {
+		target = r.RequestURI
+		writeRaw(w, http.StatusOK, r.Header.Get("X-Request-Id"), "{}")
+		return true
+	})
+	d := startDaemon(t, testConfig(nil, []string{u.address}))
+	for _, path := range []string{"/stock/a%3Fb", "/stock/a%2Fb", "/stock/a%20b", "/stock/a%25b", "/stock/a%23b?c=%3F"} {
+		if got := ask(t, d, http.MethodPost, path, "{}"); got.status != http.StatusOK || target != path {
+			t.Errorf("%s reached %s: %+v", path, target, got)
+		}
+	}
+}
--- a/internal/filter/dispatch/call.go
+++ b/internal/filter/dispatch/call.go
@@ -82,7 +82,7 @@
 	header := endToEnd(x.Header)
 	header.Set(headerWorkspace, x.Workspace.Name)
 	response, err := f.Service.Do(ctx, choice.Upstream.Address, upstream.ServiceRequest{
-		ID: a.RequestID, Method: x.Method, Path: x.Path, Query: x.Query,
+		ID: a.RequestID, Method: x.Method, Path: x.EscapedPath(), Query: x.Query,
 		Header: header, Body: x.Body, Repeatable: x.Route.Repeatable,
 	})
 	if err != nil {
--- a/internal/filter/idempotency/idempotency.go
+++ b/internal/filter/idempotency/idempotency.go
@@ -5,6 +5,7 @@
 package idempotency
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -148,7 +149,7 @@
 // requestIdentity returns the parts of a request that must be equal for it to
 // count as a repeat of another request with the same key.
 func requestIdentity(x *pipe.Exchange) []byte {
-	head := strings.Join([]string{x.Method, x.Path, x.Query, ""}, "\n")
+	head := strings.Join([]string{x.Method, cmp.Or(x.RawPath, x.Path), x.Query, ""}, "\n")
 	return append([]byte(head), x.Body...)
 }
 
--- a/internal/pipe/pipe.go
+++ b/internal/pipe/pipe.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/url"
 	"time"
 
 	"currantpulley/internal/config"
@@ -105,7 +106,8 @@
 	CallerID string // the caller's own X-Request-Id; may be empty
 	Arrived  time.Time
 	Method   string
-	Path     string
+	Path     string // decoded
+	RawPath  string // as the caller sent it; may be empty where Path says the same
 	Query    string
 	Header   http.Header
 	Body     []byte
@@ -142,6 +144,12 @@
 	return x.ID
 }
 
+// EscapedPath returns the path as it is sent in a request.
+func (x *Exchange) EscapedPath() string {
+	u := url.URL{Path: x.Path, RawPath: x.RawPath}
+	return u.EscapedPath()
+}
+
 // Abort closes the caller's connection if the writer, or one that it wraps, supports
 // it, so that the caller does not take a part of an answer for all of it.
 func (x *Exchange) Abort() {
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -11,7 +11,7 @@
 type ServiceRequest struct {
 	ID         string
 	Method     string
-	Path       string
+	Path       string      // escaped
 	Query      string      // without the question mark
 	Header     http.Header // end-to-end fields only
 	Body       []byte
