Relay no part of a completion as all of it

A caller got the first part of a completion that is not streamed as a complete answer with status 200 when the engine's response had neither a length nor chunks and its connection closed early.

Cause: the end of such a response is the end of its connection, so net/http reports none as early.

Evidence: TestCutCompletionIsNotRelayed failed before (status 200 with {"choices":[) and passes now; the contract tests of engines pass.

Conclusion: a caller gets the whole answer or an error.

--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -387,3 +387,16 @@
 		}
 	}
 }
+
+// Guards against the first part of a completion that is taken for all of it, since its
+// response has neither a length nor chunks and its connection closed early.
+func TestCutCompletionIsNotRelayed(t *testing.T) {
+	u := newRawUpstream(t, func(w io.Writer, r *http.Request, _ int) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 x\r\nX-Request-Id: %s\r\n\r\n{\"choices\":[", r.Header.Get("X-Request-Id"))
+		return false
+	})
+	d := startDaemon(t, testConfig([]string{u.address}, nil))
+	if got := ask(t, d, http.MethodPost, "/v1/completions", contractBody(false)); got.status != http.StatusBadGateway || got.effect != "unknown" {
+		t.Errorf("%+v", got)
+	}
+}
--- a/internal/filter/dispatch/relay.go
+++ b/internal/filter/dispatch/relay.go
@@ -214,6 +214,9 @@
 	if err != nil {
 		return brokenAnswer(x, failure.At("read answer", o.attempt.Choice.Upstream.Name, err))
 	}
+	if err := checkCompletion(o.response.Status, head); err != nil {
+		return brokenAnswer(x, failure.At("read answer", o.attempt.Choice.Upstream.Name, err))
+	}
 	setAnswerHeader(x, o.response.Header.Get("Content-Type"))
 	if len(head) < bufferedAnswerMax {
 		recordUsage(o.attempt, head)
@@ -223,6 +226,16 @@
 	return copyBody(x, head, o.response.Body, o.attempt.Choice.Upstream.Name)
 }
 
+// checkCompletion returns an error if body is not all of a completion. The end of a
+// response with neither a length nor chunks is the end of its connection, which may
+// come early. Bodies that are not read in full are not checked.
+func checkCompletion(status int, body []byte) error {
+	if status != http.StatusOK || len(body) == bufferedAnswerMax || json.Valid(body) {
+		return nil
+	}
+	return fmt.Errorf("%w: the completion is not JSON", upstream.ErrMalformed)
+}
+
 // copyBody writes head and then the rest of body to the caller. If reading body
 // fails, the caller's connection is closed, so that the caller does not take the
 // truncated answer for a complete one.
