Bound the headers of the daemons' own calls

Memory that operators would see: a reply from another daemon's address, which may have another owner by then, could have headers of 16 MB, gRPC's default, on each connection.

Ruled out: every call between daemons has a deadline (read in the code: branches, calls, exchange, loads, membership, origins, publish, timeline, usage), messages are bounded by 16 MiB, and TestSpoiledResponsesOfPeers shows that bytes of another protocol end with the call's deadline at the latest; it passes before and after.

Change: headers of calls and replies are at most 64 KiB.

Evidence: before, the client took 13.8 MB of an endless head in TestHeadOfAPeerIsBounded; now it passes with a bound of 128 KiB and what the kernels may hold.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,8 +22,11 @@
 
 const (
 	maxMessageBytes = 16 << 20
-	idleTimeout     = 2 * time.Minute
-	keepaliveTime   = 30 * time.Second
+	// maxHeaderBytes bounds the headers of a call or of its reply. gRPC's default is 16
+	// MB for replies.
+	maxHeaderBytes = 64 << 10
+	idleTimeout    = 2 * time.Minute
+	keepaliveTime  = 30 * time.Second
 	// Short delays between connection attempts, so that a healed partition or a
 	// VM that is back is noticed within seconds.
 	connectDelayMin = 100 * time.Millisecond
@@ -84,6 +87,7 @@
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithNoProxy(),
+		grpc.WithMaxHeaderListSize(maxHeaderBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
 	}, p.opts...)
 	c, err := grpc.NewClient("passthrough:///"+address, opts...)
@@ -132,6 +136,7 @@
 	}
 	opts := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, MaxConnectionIdle: 2 * idleTimeout}),
