Go on waiting for an engine that loads after a report that is none

What callers would see: refusals while two engines of a small service load weights at the same time.

Cause: the wait for an ordered engine ended with the first report that failed, so the engine was announced as open and no longer counted as loading while it still loaded, and another one got an order. One spoiled response was enough.

Ruled out: an order whose answer is none is read back and not repeated (the case 'answer' passes before and after).

Change: the wait goes on after up to two failed reports in a row, that is for up to 1.4 s more (680 ms for each with its timeout) if the engine is gone.

--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -110,12 +110,13 @@
 var errUnreachable = errors.New("the engine's state could not be read")
 
 // awaitVersion polls the engine until it serves the version of o. It gives up
-// after orderTimeout, or when the engine does not start loading.
+// after orderTimeout, when the engine does not start loading, or after more than
+// maxFailedPolls failed reports in a row.
 func (r *Runner) awaitVersion(ctx context.Context, u *catalog.Upstream, o Order) (uint64, error) {
 	began := time.Now()
 	defer r.observe(StageLoad, began)
 	deadline := began.Add(orderTimeout)
-	idle := 0
+	idle, failed := 0, 0
 	for time.Now().Before(deadline) {
 		select {
 		case <-ctx.Done():
@@ -124,8 +125,12 @@
 		}
 		report, err := r.report(ctx, u)
 		if err != nil {
-			return 0, err
+			if failed++; failed > maxFailedPolls {
+				return 0, err
+			}
+			continue
 		}
+		failed = 0
 		if v := report.Versions[o.Model]; v >= o.Version {
 			return v, nil
 		}
@@ -139,6 +144,11 @@
 	return 0, fmt.Errorf("order %s: not completed within %v", u.ID, orderTimeout)
 }
 
+// maxFailedPolls is the number of reports in a row that may fail while an engine
+// loads. It is small because the engine counts as loading meanwhile, and others wait
+// for it.
+const maxFailedPolls = 2
+
 // maxIdlePolls is the number of polls in a row that may show no order in
 // progress. It is more than one because engines report with a short delay.
 const maxIdlePolls = 6
--- a/internal/rollout/order_test.go
+++ b/internal/rollout/order_test.go
@@ -52,7 +52,7 @@
 
 // measureOrder gives one order to an engine whose last request that can't be
 // resumed ends after busyFor. It returns the longest duration of each stage.
-func measureOrder(ctx context.Context, e *slowEngine, busyFor time.Duration) (map[Stage]time.Duration, error) {
+func measureOrder(ctx context.Context, e Control, busyFor time.Duration) (map[Stage]time.Duration, error) {
 	took := make(map[Stage]time.Duration)
 	began := time.Now()
 	r := New(Options{
