Answer every request that a stopping daemon has read

Callers lost requests at a stop: a request on a kept connection whose head or body was being read when the daemon closed its idle connections, or that came in that moment, ended without an answer. A response whose request came before the SIGTERM didn't announce that its connection closes.

Cause: CloseIdle closed each connection whose handler didn't run, whatever had been read from it. The process ended as soon as no handler ran.

Change: from SIGTERM on each response is the last of its connection, unless the caller has sent its next request already; that one is answered first.

A request that reaches the kernel after the 250 ms is still reset unread.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/http/httputil"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -62,8 +63,11 @@
 	readError error          // of the read ahead
 	refused   *refusal.Error // with which all requests are refused; nil: they are served
 
-	handling atomic.Bool // a handler runs
-	ended    atomic.Bool // no further request is read
+	early atomic.Bool // a byte of the next request has come while the handler runs
+	ended atomic.Bool // no further request is read
+
+	mu   sync.Mutex
+	idle bool // no byte of the next request was read
 
 	readAheadDone chan struct{} // closed when the read ahead ends
 }
@@ -142,7 +146,7 @@
 	if c.refused != nil {
 		return c.reject(c.refused)
 	}
-	if _, err := c.in.Peek(1); err != nil {
+	if err := c.awaitRequest(); err != nil {
 		return err
 	}
 	c.started = true
@@ -172,6 +176,37 @@
 	return nil
 }
 
+// awaitRequest waits for the first byte of a request.
+func (c *conn) awaitRequest() error {
+	c.setIdle(true)
+	_, err := c.in.Peek(1)
+	c.setIdle(false)
+	return err
+}
+
+// setIdle sets idle. The read deadline of an idle connection is set under the same
+// lock, so that a connection is closed as idle only if no request was read.
+func (c *conn) setIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = idle
+	if idle && c.server.closingIdle.Load() {
+		_ = c.tcp.SetReadDeadline(time.Now().Add(lastRequestWait))
+	}
+	if !idle {
+		_ = c.tcp.SetReadDeadline(time.Time{})
+	}
+}
+
+// closeIfIdle closes the connection unless a request begins within lastRequestWait.
+func (c *conn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		_ = c.tcp.SetReadDeadline(time.Now().Add(lastRequestWait))
+	}
+}
+
 // collectHead reads a head of at most limit bytes, line by line.
 func (c *conn) collectHead(limit int64) ([]byte, error) {
 	var raw []byte
@@ -251,6 +286,7 @@
 func (c *conn) startReadAhead(cancel context.CancelFunc) {
 	c.started = false
 	_ = c.tcp.SetReadDeadline(time.Time{})
+	c.early.Store(c.in.Buffered() > 0)
 	c.readAheadDone = make(chan struct{})
 	go c.readAhead(cancel, c.readAheadDone)
 }
@@ -269,6 +305,7 @@
 			cancel()
 			return
 		}
+		c.early.Store(true)
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -44,6 +44,9 @@
 // idleTimeout closes a connection on which no request arrives.
 const idleTimeout = 2 * time.Minute
 
+// lastRequestWait is how long CloseIdle waits for requests that are on their way.
+const lastRequestWait = 250 * time.Millisecond
+
 // Options configure a Server.
 type Options struct {
 	Address string
@@ -60,6 +63,8 @@
 	listener       net.Listener
 	openConns      atomic.Int64
 	activeRequests atomic.Int64
+	draining       atomic.Bool
+	closingIdle    atomic.Bool
 
 	mu     sync.Mutex
 	conns  map[*nbhttp.Conn]*conn
@@ -114,17 +119,25 @@
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.activeRequests.Load() }
 
+// Open returns the number of open connections.
+func (s *Server) Open() int64 { return s.openConns.Load() }
+
+// Drain makes each response the last of its connection, unless the caller has sent
+// its next request early.
+func (s *Server) Drain() { s.draining.Store(true) }
+
 // StopAccepting closes the listener. Open connections are still served.
 func (s *Server) StopAccepting() { _ = s.listener.Close() }
 
-// CloseIdle closes the connections on which no request is in progress.
+// CloseIdle drains the server and closes the connections on which no request begins
+// within lastRequestWait. It returns at once; Open tells when all are closed.
 func (s *Server) CloseIdle() {
+	s.Drain()
+	s.closingIdle.Store(true)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.conns {
-		if !c.handling.Load() {
-			_ = c.tcp.Close()
-		}
+		c.closeIfIdle()
 	}
 }
 
@@ -195,8 +208,6 @@
 	_, _, _ = res.Hijack() // Writer writes the response
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
-	c.handling.Store(true)
-	defer c.handling.Store(false)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	out := newWriter(c, r, s.opts.Limits().WriteTimeout)
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -28,15 +28,16 @@
 	isHead   bool // the method is HEAD
 	isHTTP11 bool // the request is HTTP/1.1, not 1.0
 
-	header  http.Header
-	status  int
-	begun   bool // the head was encoded
-	hasBody bool
-	chunked bool
-	left    int64  // bytes of the body that are due, or unknownLength
-	closing bool   // the connection is closed after the response
-	out     []byte // encoded, not yet sent
-	err     error  // of the first failed write
+	header     http.Header
+	status     int
+	begun      bool // the head was encoded
+	hasBody    bool
+	chunked    bool
+	left       int64  // bytes of the body that are due, or unknownLength
+	lastWanted bool   // the response should be the last of its connection
+	closing    bool   // the connection is closed after the response
+	out        []byte // encoded, not yet sent
+	err        error  // of the first failed write
 }
 
 // newWriter returns the writer of the response to r.
@@ -71,6 +72,7 @@
 		return
 	}
 	w.begun = true
+	w.decideClosing()
 	w.WriteHeader(http.StatusOK)
 	w.left = size
 	if n, err := strconv.ParseInt(w.header.Get("Content-Length"), 10, 64); err == nil && n >= 0 {
@@ -87,6 +89,14 @@
 	w.out = append(w.out, "\r\n"...)
 }
 
+// decideClosing decides whether the response is the last of its connection. Requests
+// that have come already are answered first, unless the caller wants none of that.
+func (w *Writer) decideClosing() {
+	if w.lastWanted || w.conn.server.draining.Load() {
+		w.closing = w.closing || !w.conn.early.Load()
+	}
+}
+
 // setFraming sets the header fields that concern the connection.
 func (w *Writer) setFraming() {
 	h := w.header
@@ -212,5 +222,5 @@
 }
 
 // CloseAfter closes the connection after this response and announces that to the
-// caller. It must be called before Write.
-func (w *Writer) CloseAfter() { w.closing = true }
+// caller, unless the next request has come already. It must be called before Write.
+func (w *Writer) CloseAfter() { w.lastWanted = true }
