Add a fault soak of real processes

bench/soak starts daemons, a store, upstreams, a proxy and callers as processes on loopback addresses of its own. A seed draws faults of upstreams (wrong, cut, endless and missing answers), processes (signals), network and store, in series that overlap. Callers and upstreams write down what they saw; the checks use nothing else.

The checkers have no tests yet.

--- /dev/null
+++ b/bench/soak/plan/plan.go
@@ -0,0 +1,195 @@
+// Package plan draws from a seed which faults come when and where in a soak. All
+// processes of a soak read the same plan.
+package plan
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Fault is a fault that is in force for some time.
+type Fault struct {
+	Kind   string        `json:"kind"`
+	Target int           `json:"target"` // number of the daemon or upstream; Everywhere: all
+	From   time.Duration `json:"from"`   // since the start of the soak
+	To     time.Duration `json:"to"`
+	Share  float64       `json:"share"` // of requests or connections that it affects
+}
+
+// Everywhere is the target of a fault that affects all processes of a kind.
+const Everywhere = -1
+
+// Plan is what all processes of a soak know.
+type Plan struct {
+	Seed     uint64        `json:"seed"`
+	Start    time.Time     `json:"start"`
+	Calm     time.Duration `json:"calm"`     // length before the first fault
+	Duration time.Duration `json:"duration"` // until the last fault has ended
+	Daemons  []string      `json:"daemons"`  // addresses for callers
+	Store    string        `json:"store"`    // real address
+	Proxies  []Proxy       `json:"proxies"`
+	Faults   []Fault       `json:"faults"`
+	Dir      string        `json:"dir"`
+}
+
+// Proxy is an address at which the proxy forwards connections.
+type Proxy struct {
+	Listen   string `json:"listen"`
+	To       string `json:"to"`
+	Store    bool   `json:"store"`
+	Upstream int    `json:"upstream"` // number of the upstream, unless Store
+}
+
+// Kinds of faults of upstreams: what they do with a share of the requests.
+const (
+	ForeignNotRun   = "foreign-not-run"   // another request's refusal comes before the answer
+	AnonymousNotRun = "anonymous-not-run" // a refusal without an id comes before the answer
+	ForeignAnswer   = "foreign-answer"    // another request's answer comes before the answer
+	LateExtra       = "late-extra"        // another request's answer comes some time after the answer
+	UnavailableRan  = "503-after-run"
+	TooManyRan      = "429-after-run"
+	TimeoutRan      = "408-after-run"
+	MisdirectedRan  = "421-after-run"
+	FailedRan       = "500-after-run"
+	CloseAfterRun   = "close-after-run"  // no answer
+	CloseAtReuse    = "close-at-reuse"   // closes a kept connection when its next request begins
+	CloseIdle       = "close-idle"       // closes a kept connection some time after an answer
+	Cut             = "cut"              // closes within the answer
+	CutByReset      = "cut-by-reset"     // resets within an answer without a length
+	NoLength        = "no-length"        // a whole answer that ends with the connection
+	EndlessHead     = "endless-head"     // header lines without end
+	EndlessInterim  = "endless-interim"  // informational responses without end
+	EndlessBody     = "endless-body"     // a body without end
+	Garbage         = "garbage"          // bytes that are no answer
+	SlotsHeld       = "slots-held"       // requests keep their slots longer
+	Refusing        = "refusing"         // refuses truly
+	Silent          = "silent-after-run" // no answer, the connection stays open
+)
+
+// Kinds of faults of processes.
+const (
+	PauseDaemon   = "pause-daemon"
+	KillDaemon    = "kill-daemon"
+	StopDaemon    = "stop-daemon" // SIGTERM
+	PauseUpstream = "pause-upstream"
+	KillUpstream  = "kill-upstream"
+)
+
+// Kinds of faults of the network between daemons and upstreams or the store.
+const (
+	NetDelay  = "net-delay"
+	NetReset  = "net-reset"
+	NetOneWay = "net-one-way" // bytes to the daemons are lost
+	NetSilent = "net-silent"  // bytes are held both ways
+)
+
+// Kinds of faults of the store.
+const (
+	StoreDown     = "store-down"
+	StoreHang     = "store-hang"
+	StoreSlow     = "store-slow"
+	StoreLost     = "store-lost"     // executes calls and loses the responses
+	StoreRestored = "store-restored" // restored from a copy that is as old as the fault is long
+)
+
+// Kinds of faults by the series in which they come. The series overlap.
+var (
+	upstreamKinds = []string{
+		ForeignNotRun, AnonymousNotRun, ForeignAnswer, LateExtra, UnavailableRan, TooManyRan, TimeoutRan, MisdirectedRan, FailedRan,
+		CloseAfterRun, CloseAtReuse, CloseIdle, Cut, CutByReset, NoLength, EndlessHead, EndlessInterim, EndlessBody, Garbage, SlotsHeld,
+		Refusing, Silent,
+	}
+	processKinds = []string{PauseDaemon, KillDaemon, StopDaemon, PauseUpstream, KillUpstream}
+	networkKinds = []string{NetDelay, NetReset, NetOneWay, NetSilent, StoreDown, StoreHang, StoreSlow, StoreLost, StoreRestored}
+)
+
+// Kinds returns all kinds of faults.
+func Kinds() []string { return slices.Concat(upstreamKinds, processKinds, networkKinds) }
+
+// IsUpstream reports whether upstreams carry out faults of a kind themselves.
+func IsUpstream(kind string) bool { return slices.Contains(upstreamKinds, kind) }
+
+// IsProcess reports whether a fault of a kind is a signal to a process.
+func IsProcess(kind string) bool { return slices.Contains(processKinds, kind) }
+
+// Lengths of faults and of the pauses between them within one series.
+const (
+	minLength = 700 * time.Millisecond
+	maxLength = 4 * time.Second
+	maxPause  = 500 * time.Millisecond
+)
+
+// Draw draws the faults of the seed. only, if not empty, lists the kinds to draw.
+func (p *Plan) Draw(daemons, upstreams int, only []string) {
+	r := rand.New(rand.NewPCG(p.Seed, 1)) //nolint:gosec // random faults need no secure source
+	for i, kinds := range [][]string{upstreamKinds, upstreamKinds, upstreamKinds, processKinds, networkKinds} {
+		if len(only) > 0 {
+			kinds = slices.DeleteFunc(slices.Clone(kinds), func(k string) bool { return !slices.Contains(only, k) })
+		}
+		if len(kinds) > 0 {
+			p.drawSeries(r, kinds, daemons, upstreams, time.Duration(i)*minLength/2)
+		}
+	}
+	slices.SortFunc(p.Faults, func(a, b Fault) int { return int(a.From - b.From) })
+}
+
+// drawSeries draws faults that follow each other from the time offset on.
+func (p *Plan) drawSeries(r *rand.Rand, kinds []string, daemons, upstreams int, offset time.Duration) {
+	for at := p.Calm + offset; at+minLength < p.Duration; {
+		f := Fault{Kind: kinds[r.IntN(len(kinds))], From: at, Target: Everywhere, Share: 0.05 + 0.45*r.Float64()}
+		f.To = min(p.Duration, at+minLength+time.Duration(r.Int64N(int64(maxLength-minLength))))
+		switch {
+		case f.Kind == PauseDaemon, f.Kind == KillDaemon, f.Kind == StopDaemon:
+			f.Target = r.IntN(daemons)
+		case IsStore(f.Kind): // there is one
+		case IsNetwork(f.Kind):
+			f.Target = r.IntN(upstreams + 1) // the last proxy is the store's
+		case IsProcess(f.Kind), r.IntN(3) > 0:
+			f.Target = r.IntN(upstreams)
+		}
+		p.Faults = append(p.Faults, f)
+		at = f.To + time.Duration(r.Int64N(int64(maxPause)))
+	}
+}
+
+// Active returns the faults that are in force at t for a target and whose kind is
+// one of those that match accepts.
+func (p *Plan) Active(t time.Time, target int, match func(kind string) bool) []Fault {
+	since := t.Sub(p.Start)
+	var out []Fault
+	for _, f := range p.Faults {
+		if f.From <= since && since < f.To && (f.Target == Everywhere || f.Target == target) && match(f.Kind) {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
+// IsNetwork reports whether the proxy carries out faults of a kind.
+func IsNetwork(kind string) bool { return strings.HasPrefix(kind, "net-") }
+
+// IsStore reports whether the store carries out faults of a kind.
+func IsStore(kind string) bool { return strings.HasPrefix(kind, "store-") }
+
+// Save writes the plan to a file.
+func (p *Plan) Save(name string) error {
+	data, err := json.MarshalIndent(p, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(name, data, 0o600)
+}
+
+// Load reads a plan from a file.
+func Load(name string) (*Plan, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	p := &Plan{}
+	return p, json.Unmarshal(data, p)
+}
--- /dev/null
+++ b/bench/soak/run.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"currantpulley/bench/soak/check"
+	"currantpulley/bench/soak/plan"
+	"currantpulley/bench/soak/record"
+	"currantpulley/bench/soak/site"
+)
+
+// Times of a soak.
+const (
+	calm           = 4 * time.Second // from the start to the first fault
+	settleTime     = 3 * time.Second // beyond the time to recover, for calls in progress
+	memoryInterval = 250 * time.Millisecond
+	daemonPackage  = "./cmd/currantpulleyd"
+)
+
+// soak is one run.
+type soak struct {
+	flags   *flags
+	plan    *plan.Plan
+	in      *installation
+	records *record.Log
+	log     zerolog.Logger
+}
+
+// runSoak runs one seed and prints the report.
+func runSoak(ctx context.Context, f *flags, log zerolog.Logger) error {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", f.seed))
+	if err != nil {
+		return err
+	}
+	if f.binary == "" {
+		f.binary = filepath.Join(dir, "currantpulleyd")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", f.binary, daemonPackage).CombinedOutput(); err != nil { //nolint:gosec // fixed program
+			return fmt.Errorf("build of the daemon: %w: %s", err, out)
+		}
+	}
+	s := &soak{flags: f, log: log, plan: &plan.Plan{Seed: f.seed, Calm: calm, Duration: calm + f.duration, Dir: dir}}
+	s.plan.Draw(f.daemons, site.Upstreams, f.only)
+	if err := s.play(ctx); err != nil {
+		return err
+	}
+	return s.report()
+}
+
+// play starts everything, injects the faults and waits until all have recovered.
+func (s *soak) play(ctx context.Context) error {
+	var err error
+	if s.records, err = record.Open(s.plan.Dir, "soak"); err != nil {
+		return err
+	}
+	defer func() { _ = s.records.Close() }()
+	if s.in, err = newInstallation(s.flags, s.plan); err != nil {
+		return err
+	}
+	s.plan.Start = time.Now()
+	if err := s.plan.Save(s.in.planFile); err != nil {
+		return err
+	}
+	s.in.callers.argv = append(s.in.callers.argv, "--until", s.plan.Duration.String())
+	defer s.in.endAll()
+	if err := s.in.startAll(ctx); err != nil {
+		return err
+	}
+	sampling, stop := context.WithCancel(ctx)
+	memory := s.sampleMemory(sampling)
+	s.injectAll(ctx)
+	s.awaitRecovery(ctx)
+	s.in.callers.wait(settleTime)
+	stop()
+	for name, peak := range <-memory {
+		s.record(record.Line{Memory: &record.Memory{Daemon: name, PeakMB: peak}})
+	}
+	return ctx.Err()
+}
+
+// sampleMemory samples the memory of the daemons until ctx ends, and then sends the
+// largest of each.
+func (s *soak) sampleMemory(ctx context.Context) <-chan map[string]float64 {
+	out := make(chan map[string]float64, 1)
+	go func() {
+		peaks := make(map[string]float64)
+		for ctx.Err() == nil {
+			for _, d := range s.in.daemons {
+				peaks[d.name] = max(peaks[d.name], d.memoryMB())
+			}
+			time.Sleep(memoryInterval)
+		}
+		out <- peaks
+	}()
+	return out
+}
+
+func (s *soak) record(l record.Line) { s.check(s.records.Write(l)) }
+
+// check logs an error of the soak itself.
+func (s *soak) check(err error) {
+	if err != nil {
+		s.log.Error().Err(err).Msg("soak")
+	}
+}
+
+// report checks the promises, prints the result and returns errFindings if one was
+// broken.
+func (s *soak) report() error {
+	all, err := record.Load(s.plan.Dir)
+	if err != nil {
+		return err
+	}
+	findings := check.All(all)
+	printReport(os.Stdout, s.plan.Seed, all, findings)
+	if len(findings) == 0 && !s.flags.keep {
+		return os.RemoveAll(s.plan.Dir)
+	}
+	fmt.Printf("records and logs: %s\n", s.plan.Dir)
+	if len(findings) == 0 {
+		return nil
+	}
+	return errFindings
+}
--- /dev/null
+++ b/bench/soak/site/site.go
@@ -0,0 +1,105 @@
+// Package site describes the services, routes and figures of a soak's installation.
+package site
+
+import (
+	"time"
+
+	"currantpulley/platform/standin/names"
+)
+
+// Host is the host of all routes.
+const Host = "soak.example"
+
+// Names of services.
+const (
+	Plain  = "plain"
+	Engine = "engine"
+)
+
+// Model is the model of the engines, with its only weights version.
+const (
+	Model   = "m"
+	Weights = 1
+)
+
+// Sizes of the installation besides its daemons.
+const (
+	PlainUpstreams = 3
+	Engines        = 4
+	Upstreams      = PlainUpstreams + Engines
+	PlainSlots     = 4
+	EngineSlots    = 10
+)
+
+// Figures of the daemons' settings that the checks use.
+const (
+	MemoryMB     = 206
+	StopGrace    = 4 * time.Second
+	RetryRatio   = 0.2
+	RetryExtra   = 30
+	RetryWindow  = 10 * time.Second
+	Recovery     = 12 * time.Second // from the last fault until all daemons serve
+	AnswerSlack  = time.Second      // beyond a call's limit
+	EntryTimeout = 3600 * time.Millisecond
+	Heartbeat    = 1200 * time.Millisecond
+)
+
+// Route is a route as callers use it.
+type Route struct {
+	Name    string
+	Service string
+	Kind    string
+	Prefix  string
+	Timeout time.Duration
+}
+
+// Once reports whether a request of the route may run once at most.
+func (r Route) Once() bool { return r.Kind == names.KindUnsafe }
+
+// Stream reports whether the route's answers are streams of events.
+func (r Route) Stream() bool { return r.Kind == names.KindStreaming }
+
+// Routes of the installation.
+var (
+	RouteOnce   = Route{"once", Plain, names.KindUnsafe, "/once/", 1500 * time.Millisecond}
+	RouteSafe   = Route{"safe", Plain, names.KindSafe, "/safe/", 1500 * time.Millisecond}
+	RouteStream = Route{"stream", Engine, names.KindStreaming, "/stream/", 5 * time.Second}
+	Routes      = []Route{RouteOnce, RouteSafe, RouteStream}
+)
+
+// Attempts is the number of upstreams to which one call may be sent.
+const maxAttempts = 2
+
+// Config returns the operators' configuration.
+func Config(version int) names.Config {
+	c := names.Config{Version: version}
+	for _, r := range Routes {
+		c.Routes = append(c.Routes, names.Route{
+			Name: r.Name, Host: Host, Prefix: r.Prefix, Kind: r.Kind, Service: r.Service, TimeoutMS: int(r.Timeout.Milliseconds()),
+			LatencyMS: int(r.Timeout.Milliseconds()) / 4, MaxAttempts: maxAttempts, Prompted: r.Stream(), Resumable: r.Stream(),
+		})
+	}
+	engine := &names.Engine{Slots: EngineSlots, CacheTokens: 100_000, Models: []names.EngineModel{{Name: Model}}}
+	c.Services = []names.Service{
+		{Name: Plain, HealthPath: names.PathHealth},
+		{Name: Engine, HealthPath: names.PathHealth, Engine: engine},
+	}
+	return c
+}
+
+// ServiceOf returns the service of the upstream with a number.
+func ServiceOf(upstream int) string {
+	if upstream < PlainUpstreams {
+		return Plain
+	}
+	return Engine
+}
+
+// SoftwareOf returns the software version of the upstream with a number. Engines of
+// two versions serve side by side.
+func SoftwareOf(upstream int) string {
+	if ServiceOf(upstream) == Engine && upstream%2 == 1 {
+		return "v2"
+	}
+	return "v1"
+}
--- /dev/null
+++ b/bench/soak/upstream/upstream.go
@@ -0,0 +1,275 @@
+// Package upstream is a stand-in of a plain service or an engine. It writes its
+// answers byte by byte, so that it can misbehave, and records each request.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"currantpulley/bench/soak/plan"
+	"currantpulley/bench/soak/record"
+	"currantpulley/bench/soak/site"
+	"currantpulley/platform/standin/names"
+)
+
+// Options configure an upstream.
+type Options struct {
+	Plan       *plan.Plan
+	Number     int
+	Generation int    // number of starts before this one
+	Listen     string // address at which it listens
+	Announce   string // address in its entry: that of its proxy
+	Records    *record.Log
+	Log        zerolog.Logger
+}
+
+// Upstream is a running stand-in.
+type Upstream struct {
+	opts    Options
+	id      string
+	service string
+	slots   int
+	born    time.Time
+
+	mu      sync.Mutex
+	running int
+	seals   int
+	random  *rand.Rand
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, o Options) error {
+	u := &Upstream{
+		opts: o, id: InstanceID(o.Number, o.Generation), service: site.ServiceOf(o.Number), slots: site.PlainSlots, born: time.Now(),
+		random: rand.New(rand.NewPCG(o.Plan.Seed, uint64(100+o.Number+1000*o.Generation))), //nolint:gosec // random faults need no secure source
+	}
+	if u.service == site.Engine {
+		u.slots = site.EngineSlots
+	}
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return err
+	}
+	go u.heartbeat(ctx)
+	context.AfterFunc(ctx, func() { _ = l.Close() })
+	for {
+		c, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		go u.serve(c)
+	}
+}
+
+// InstanceID returns the id of an upstream's start.
+func InstanceID(number, generation int) string { return fmt.Sprintf("i-%d-%d", number, generation) }
+
+// heartbeat writes the upstream's entry again and again.
+func (u *Upstream) heartbeat(ctx context.Context) {
+	w := names.NewStoreWriter(u.opts.Plan.Store)
+	for n := 1; ctx.Err() == nil; n++ {
+		e := names.Entry{
+			Service: u.service, Address: u.opts.Announce, Zone: "a", Software: site.SoftwareOf(u.opts.Number), Slots: u.slots,
+			State: names.StateReady, Born: u.born.UnixMilli(), Sequence: n,
+		}
+		if u.service == site.Engine {
+			e.Models = []names.EngineModel{{Name: site.Model, Version: site.Weights}}
+		}
+		if err := w.PutEntry(ctx, u.id, e); err != nil {
+			u.opts.Log.Debug().Err(err).Msg("entry not written")
+		}
+		select {
+		case <-time.After(site.Heartbeat):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// serve serves the requests of one connection.
+func (u *Upstream) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for number := 1; ; number++ {
+		if number > 1 && !u.awaitNext(c, in) {
+			return
+		}
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if !u.respond(c, r) {
+			return
+		}
+	}
+}
+
+// awaitNext waits for the next request on a kept connection. It returns false if the
+// connection is to be closed instead.
+func (u *Upstream) awaitNext(c net.Conn, in *bufio.Reader) bool {
+	if u.draws(plan.CloseIdle) {
+		_ = c.SetReadDeadline(time.Now().Add(u.between(0, 60*time.Millisecond)))
+		if _, err := in.Peek(1); err != nil {
+			return false
+		}
+		_ = c.SetReadDeadline(time.Time{})
+	}
+	_, err := in.Peek(1)
+	return err == nil && !u.draws(plan.CloseAtReuse)
+}
+
+// respond answers one request and reports whether the connection can be kept.
+func (u *Upstream) respond(c net.Conn, r *http.Request) bool {
+	if r.Header.Get(names.AttemptID) == "" {
+		return u.respondToControl(c, r)
+	}
+	a := record.Arrival{
+		Attempt: r.Header.Get(names.AttemptID), Service: u.service, Upstream: u.id, Software: site.SoftwareOf(u.opts.Number),
+		At: time.Now(), Method: r.Method,
+	}
+	expected := r.Header.Get(names.ExpectInstance)
+	version := r.Header.Get(names.ExpectVersion)
+	if expected != "" && expected != u.id || version != "" && version != strconv.Itoa(site.Weights) {
+		return u.refuse(c, r, a, http.StatusMisdirectedRequest)
+	}
+	if u.draws(plan.Refusing) || !u.take() {
+		return u.refuse(c, r, a, http.StatusServiceUnavailable)
+	}
+	defer u.release()
+	a.Ran = true
+	return u.run(c, r, a)
+}
+
+// refuse answers that the request did not run.
+func (u *Upstream) refuse(c net.Conn, r *http.Request, a record.Arrival, status int) bool {
+	a.Status = status
+	u.record(a)
+	return u.write(c, r, response{status: status, attempt: a.Attempt, notRun: true}) == nil
+}
+
+// respondToControl answers a health check or a call to an engine itself.
+func (u *Upstream) respondToControl(c net.Conn, r *http.Request) bool {
+	switch r.URL.Path {
+	case names.PathHealth:
+		return u.write(c, r, response{status: http.StatusOK}) == nil
+	case names.PathReport:
+		u.mu.Lock()
+		report := names.Report{Models: []names.EngineModel{{Name: site.Model, Version: site.Weights}}, Running: u.running}
+		u.mu.Unlock()
+		data, err := json.Marshal(report)
+		return err == nil && u.write(c, r, response{status: http.StatusOK, body: string(data)}) == nil
+	case names.PathOrder:
+		return u.write(c, r, response{status: http.StatusOK}) == nil
+	}
+	return u.write(c, r, response{status: http.StatusBadRequest, notRun: true}) == nil
+}
+
+// Times of work.
+const (
+	minWork     = 5 * time.Millisecond
+	maxWork     = 40 * time.Millisecond
+	minHeldWork = 500 * time.Millisecond
+	maxHeldWork = 2 * time.Second
+)
+
+// run runs a request that has a slot and answers it, with a trouble if one is drawn.
+func (u *Upstream) run(c net.Conn, r *http.Request, a record.Arrival) bool {
+	a.Trouble = u.drawTrouble()
+	a.Seal = u.nextSeal()
+	a.Status = statusOf(a.Trouble)
+	u.record(a)
+	if a.Trouble == plan.SlotsHeld {
+		time.Sleep(u.between(minHeldWork, maxHeldWork))
+	}
+	time.Sleep(u.between(minWork, maxWork))
+	if strings.HasPrefix(r.URL.Path, site.RouteStream.Prefix) {
+		return u.answerStream(c, r, a)
+	}
+	return u.answerPlain(c, r, a)
+}
+
+func (u *Upstream) record(a record.Arrival) {
+	if err := u.opts.Records.Write(record.Line{Arrival: &a}); err != nil {
+		u.opts.Log.Error().Err(err).Msg("arrival not recorded")
+	}
+}
+
+// take takes a slot if one is free.
+func (u *Upstream) take() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.running >= u.slots {
+		return false
+	}
+	u.running++
+	return true
+}
+
+func (u *Upstream) release() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running--
+}
+
+func (u *Upstream) nextSeal() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.seals++
+	return fmt.Sprintf("%s.%d", u.id, u.seals)
+}
+
+// between draws a duration.
+func (u *Upstream) between(from, to time.Duration) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return from + time.Duration(u.random.Int64N(int64(to-from)))
+}
+
+// draws reports whether a fault of a kind is in force and affects this request.
+func (u *Upstream) draws(kind string) bool {
+	for _, f := range u.opts.Plan.Active(time.Now(), u.opts.Number, func(k string) bool { return k == kind }) {
+		if u.chance(f.Share) {
+			return true
+		}
+	}
+	return false
+}
+
+// drawTrouble draws the trouble of an answer, "" for none.
+func (u *Upstream) drawTrouble() string {
+	for _, f := range u.opts.Plan.Active(time.Now(), u.opts.Number, isTroubleOfAnswer) {
+		if u.chance(f.Share) {
+			return f.Kind
+		}
+	}
+	return ""
+}
+
+// isTroubleOfAnswer reports whether a fault of a kind shows in the answer to a
+// request that ran.
+func isTroubleOfAnswer(kind string) bool {
+	return plan.IsUpstream(kind) && kind != plan.Refusing && kind != plan.CloseAtReuse && kind != plan.CloseIdle
+}
+
+func (u *Upstream) chance(p float64) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.random.Float64() < p
+}
