--- a/bench/soak/caller/attempt.go
+++ b/bench/soak/caller/attempt.go
@@ -90,7 +90,7 @@
 func (c *caller) newCall(q *request) record.Call {
 	return record.Call{
 		Attempt: c.newID(), Request: q.id, Service: q.route.Service, Route: q.route.Name, Once: q.route.Once(), Method: q.method,
-		Limit: min(time.Until(q.deadline), q.route.Timeout), Total: q.events,
+		Limit: min(time.Until(q.deadline), q.route.Timeout), Total: q.events, Chunked: q.chunked,
 	}
 }
 
--- a/bench/soak/caller/caller.go
+++ b/bench/soak/caller/caller.go
@@ -128,6 +128,7 @@
 		return
 	}
 	second := c.newAttempt(c.newRequest())
+	second.call.Early = true
 	second.call.Limit += first.call.Limit // it isn't read before the first is answered
 	c.exchangeBoth(first, second)
 }
--- a/bench/soak/record/record.go
+++ b/bench/soak/record/record.go
@@ -50,7 +50,9 @@
 	Once      bool          `json:"once"` // may run once at most
 	Method    string        `json:"method"`
 	Daemon    string        `json:"daemon"`
-	Reused    bool          `json:"reused"` // the connection had served another request
+	Reused    bool          `json:"reused"`  // the connection had served another request
+	Chunked   bool          `json:"chunked"` // the body was sent in chunks
+	Early     bool          `json:"early"`   // sent before the answer to the request before
 	Sent      time.Time     `json:"sent"`
 	Done      time.Time     `json:"done"`
 	Limit     time.Duration `json:"limit"` // the shorter of the route's timeout and the caller's deadline
