Plant a fault for each check of the soak

The checkers' unit tests don't show that callers, upstreams and the records still see what the checkers need.

New rule LOST: connections that are closed without an answer although a sound upstream ran the call and nothing disturbed the daemon.

--- a/bench/soak/caller/caller.go
+++ b/bench/soak/caller/caller.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"currantpulley/bench/soak/check"
 	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/record"
 	"currantpulley/bench/soak/site"
@@ -28,7 +29,7 @@
 // Times of a caller.
 const (
 	dialTimeout = time.Second
-	meanThink   = 70 * time.Millisecond
+	meanThink   = 45 * time.Millisecond
 	burstThink  = 8 * time.Millisecond
 	burstEvery  = 6 * time.Second
 	burstLength = 1500 * time.Millisecond
@@ -143,10 +144,17 @@
 		return
 	case kept && c.chance(halfCloseShare):
 		c.conn.closeWrite()
+		a.call.Half = true
 		c.conn.receive(a)
 		kept = false
 	case kept:
+		if c.plant(check.RuleLate) {
+			time.Sleep(a.call.Limit + site.AnswerSlack + retryPause)
+		}
 		kept = c.conn.receive(a)
+		if c.plant(check.RuleLost) {
+			a.end(record.Closed)
+		}
 	}
 	c.record(a)
 	if !kept {
@@ -155,6 +163,14 @@
 	c.retry(a)
 }
 
+// plantedShare is the share of the answers with a planted fault.
+const plantedShare = 0.02
+
+// plant reports whether the caller breaks a rule on purpose now.
+func (c *caller) plant(rule string) bool {
+	return c.opts.Plan.Plants(rule) && c.chance(plantedShare)
+}
+
 // leave closes the connection before the answer.
 func (c *caller) leave(a *attempt) {
 	time.Sleep(time.Duration(c.random.Int64N(int64(maxStay))))
--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -21,6 +21,7 @@
 	RuleBudget  = "BUDGET"  // a service got more repeats than allowed
 	RuleMixed   = "MIXED"   // an answer is not its upstream's whole answer to this call
 	RuleOrder   = "ORDER"   // a stream is not whole, in order and of one software version
+	RuleLost    = "LOST"    // connections were closed without an answer though nothing was wrong
 	RuleLate    = "LATE"    // neither an answer nor a close in time
 	RuleDenied  = "DENIED"  // proper calls were refused as improper
 	RuleRecover = "RECOVER" // a daemon does not serve after the last fault
@@ -29,7 +30,7 @@
 
 // Rules lists the rules in the order of the report.
 var Rules = []string{
-	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleOrder, RuleLate, RuleDenied, RuleRecover, RuleMemory,
+	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleOrder, RuleLost, RuleLate, RuleDenied, RuleRecover, RuleMemory,
 }
 
 // Finding is a broken promise.
@@ -43,7 +44,7 @@
 func All(r *record.All) []Finding {
 	return slices.Concat(
 		Twice(r), Refused(r), Budget(r, site.RetryRatio, site.RetryExtra, site.RetryWindow),
-		Mixed(r), Order(r), Late(r), Denied(r), Recover(r), Memory(r),
+		Mixed(r), Order(r), Lost(r), Late(r), Denied(r), Recover(r), Memory(r),
 	)
 }
 
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -91,6 +91,11 @@
 		}},
 		{"gap in a stream", RuleOrder, func(r *record.All) { call(r, 202).Problem = "event \"id: 3\" after event 1" }},
 		{"two software versions over two attempts", RuleOrder, func(r *record.All) { call(r, 202).Events[0].Software = "v2" }},
+		{"closed without an answer", RuleLost, func(r *record.All) {
+			for i := range lostFew + 1 {
+				call(r, i).Outcome, call(r, i).Status, call(r, i).Seal = record.Closed, 0, ""
+			}
+		}},
 		{"answer too late", RuleLate, func(r *record.All) { call(r, 7).Done = call(r, 7).Sent.Add(time.Second + site.AnswerSlack + 1) }},
 		{"no answer at all", RuleLate, func(r *record.All) { call(r, 7).Outcome, call(r, 7).Status, call(r, 7).Seal = record.Late, 0, "" }},
 		{"proper calls refused", RuleDenied, func(r *record.All) {
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"currantpulley/bench/soak/caller"
+	"currantpulley/bench/soak/check"
 	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/proxy"
 	"currantpulley/bench/soak/record"
@@ -39,6 +40,7 @@
 	daemons  int
 	callers  int
 	only     []string
+	planted  []string
 	binary   string
 	template string
 	keep     bool
@@ -60,8 +62,9 @@
 	run.Flag("seed", "Seed of the faults and of the traffic.").Default("1").Uint64Var(&f.seed)
 	run.Flag("duration", "Time until the last fault has ended.").Default("20s").DurationVar(&f.duration)
 	run.Flag("daemons", "Number of daemons.").Default("5").IntVar(&f.daemons)
-	run.Flag("callers", "Number of callers.").Default("24").IntVar(&f.callers)
+	run.Flag("callers", "Number of callers.").Default("32").IntVar(&f.callers)
 	run.Flag("only", "Kind of fault to inject; may be repeated. Default: all.").EnumsVar(&f.only, plan.Kinds()...)
+	run.Flag("plant", "Rule that the stand-ins break on purpose, to test its check; may be repeated.").EnumsVar(&f.planted, check.Rules...)
 	run.Flag("binary", "Path of the daemon's binary; empty: it is built.").StringVar(&f.binary)
 	run.Flag("template", "Template of the daemons' settings.").Default("deploy/settings.toml").StringVar(&f.template)
 	run.Flag("keep", "Keep the records and logs also if no promise was broken.").BoolVar(&f.keep)
--- a/bench/soak/plan/plan.go
+++ b/bench/soak/plan/plan.go
@@ -33,6 +33,7 @@
 	Store    string        `json:"store"`    // real address
 	Proxies  []Proxy       `json:"proxies"`
 	Faults   []Fault       `json:"faults"`
+	Planted  []string      `json:"planted"` // rules that the stand-ins break on purpose
 	Dir      string        `json:"dir"`
 }
 
@@ -169,6 +170,9 @@
 	return out
 }
 
+// Plants reports whether the stand-ins break a rule on purpose.
+func (p *Plan) Plants(rule string) bool { return slices.Contains(p.Planted, rule) }
+
 // IsNetwork reports whether the proxy carries out faults of a kind.
 func IsNetwork(kind string) bool { return strings.HasPrefix(kind, "net-") }
 
--- a/bench/soak/record/record.go
+++ b/bench/soak/record/record.go
@@ -52,6 +52,7 @@
 	Daemon    string        `json:"daemon"`
 	Reused    bool          `json:"reused"`  // the connection had served another request
 	Chunked   bool          `json:"chunked"` // the body was sent in chunks
+	Half      bool          `json:"half"`    // the caller closed its side after the request
 	Early     bool          `json:"early"`   // sent before the answer to the request before
 	Sent      time.Time     `json:"sent"`
 	Done      time.Time     `json:"done"`
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -45,7 +45,7 @@
 			return fmt.Errorf("build of the daemon: %w: %s", err, out)
 		}
 	}
-	s := &soak{flags: f, log: log, plan: &plan.Plan{Seed: f.seed, Calm: calm, Duration: calm + f.duration, Dir: dir}}
+	s := &soak{flags: f, log: log, plan: &plan.Plan{Seed: f.seed, Calm: calm, Duration: calm + f.duration, Dir: dir, Planted: f.planted}}
 	s.plan.Draw(f.daemons, site.Upstreams, f.only)
 	if err := s.play(ctx); err != nil {
 		return err
@@ -79,6 +79,9 @@
 	s.in.callers.wait(settleTime)
 	stop()
 	for name, peak := range <-memory {
+		if s.plan.Plants(check.RuleMemory) {
+			peak += site.MemoryMB
+		}
 		s.record(record.Line{Memory: &record.Memory{Daemon: name, PeakMB: peak}})
 	}
 	return ctx.Err()
--- a/bench/soak/upstream/answer.go
+++ b/bench/soak/upstream/answer.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"currantpulley/bench/soak/check"
 	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/record"
 	"currantpulley/bench/soak/site"
@@ -120,6 +121,12 @@
 	if kept, done := u.misbehave(c, r, a.Trouble); done {
 		return kept
 	}
+	if u.plants(check.RuleMixed, r) {
+		p.body = p.body[:bodySize/2]
+	}
+	if u.plants(check.RuleDenied, r) {
+		p = response{status: http.StatusNotFound, attempt: a.Attempt}
+	}
 	switch a.Trouble {
 	case plan.Cut:
 		_, _ = io.WriteString(c, u.head(p)+p.body[:bodySize/2])
--- /dev/null
+++ b/bench/soak/upstream/plant.go
@@ -0,0 +1,48 @@
+package upstream
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"currantpulley/bench/soak/check"
+	"currantpulley/bench/soak/record"
+	"currantpulley/bench/soak/site"
+	"currantpulley/platform/standin/names"
+)
+
+// Shares and numbers of planted faults.
+const (
+	plantedShare   = 0.05
+	plantedRepeats = 20 // arrivals that are recorded for one
+)
+
+// plants reports whether the upstream breaks a rule on purpose at this request.
+func (u *Upstream) plants(rule string, r *http.Request) bool {
+	if !u.opts.Plan.Plants(rule) {
+		return false
+	}
+	if rule == check.RuleRecover {
+		return time.Since(u.opts.Plan.Start) > u.opts.Plan.Duration
+	}
+	if rule == check.RuleRefused { // all upstreams must refuse the attempt
+		return xxhash.Sum64String(r.Header.Get(names.AttemptID))%(1/plantedShare) == 0
+	}
+	once := strings.HasPrefix(r.URL.Path, site.RouteOnce.Prefix)
+	return (once || rule == check.RuleOrder) && u.chance(plantedShare)
+}
+
+// recordPlanted records runs and arrivals that did not take place, if that is planted.
+func (u *Upstream) recordPlanted(a record.Arrival, r *http.Request) {
+	if u.plants(check.RuleTwice, r) {
+		u.record(a)
+	}
+	if u.plants(check.RuleBudget, r) {
+		a.Ran, a.Seal = false, ""
+		for range plantedRepeats {
+			u.record(a)
+		}
+	}
+}
--- a/bench/soak/upstream/stream.go
+++ b/bench/soak/upstream/stream.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"currantpulley/bench/soak/check"
 	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/record"
 	"currantpulley/bench/soak/site"
@@ -49,6 +50,9 @@
 		cutAt = last + 1 + int(u.between(0, time.Duration(max(1, total-last))))
 	}
 	for n := last + 1; n <= total; n++ {
+		if n == total && u.plants(check.RuleOrder, r) {
+			break
+		}
 		time.Sleep(u.between(minEventGap, maxEventGap))
 		text := event(a.Software, n, total)
 		if n == cutAt {
--- a/bench/soak/upstream/upstream.go
+++ b/bench/soak/upstream/upstream.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"currantpulley/bench/soak/check"
 	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/record"
 	"currantpulley/bench/soak/site"
@@ -149,7 +150,11 @@
 	if expected != "" && expected != u.id || version != "" && version != strconv.Itoa(site.Weights) {
 		return u.refuse(c, r, a, http.StatusMisdirectedRequest)
 	}
-	if u.draws(plan.Refusing) || !u.take() {
+	if u.plants(check.RuleRefused, r) {
+		a.Ran = true
+		return u.refuse(c, r, a, http.StatusServiceUnavailable)
+	}
+	if u.draws(plan.Refusing) || u.plants(check.RuleRecover, r) || !u.take() {
 		return u.refuse(c, r, a, http.StatusServiceUnavailable)
 	}
 	defer u.release()
@@ -195,6 +200,7 @@
 	a.Seal = u.nextSeal()
 	a.Status = statusOf(a.Trouble)
 	u.record(a)
+	u.recordPlanted(a, r)
 	if a.Trouble == plan.SlotsHeld {
 		time.Sleep(u.between(minHeldWork, maxHeldWork))
 	}
