Report how much of the retry budget a seed used

A seed without a finding may be far from the bound or just below it. The report has the worst window of each service now. The time before the first fault is drawn, so that faults come while daemons start.

--- a/bench/soak/plan/plan.go
+++ b/bench/soak/plan/plan.go
@@ -124,9 +124,11 @@
 	maxPause  = 500 * time.Millisecond
 )
 
-// Draw draws the faults of the seed. only, if not empty, lists the kinds to draw.
-func (p *Plan) Draw(daemons, upstreams int, only []string) {
+// Draw draws the faults of the seed. The first comes at most maxCalm after the start.
+// only, if not empty, lists the kinds to draw.
+func (p *Plan) Draw(maxCalm time.Duration, daemons, upstreams int, only []string) {
 	r := rand.New(rand.NewPCG(p.Seed, 1)) //nolint:gosec // random faults need no secure source
+	p.Calm = time.Duration(r.Int64N(int64(maxCalm)))
 	for i, kinds := range [][]string{upstreamKinds, upstreamKinds, upstreamKinds, processKinds, networkKinds} {
 		if len(only) > 0 {
 			kinds = slices.DeleteFunc(slices.Clone(kinds), func(k string) bool { return !slices.Contains(only, k) })
--- a/bench/soak/report.go
+++ b/bench/soak/report.go
@@ -11,6 +11,7 @@
 
 	"currantpulley/bench/soak/check"
 	"currantpulley/bench/soak/record"
+	"currantpulley/bench/soak/site"
 )
 
 // maxDetails is the number of findings of a rule that are printed in full.
@@ -38,6 +39,9 @@
 	_, _ = fmt.Fprintf(w, "faults\t%s\n", counts(faults))
 	_, _ = fmt.Fprintf(w, "arrivals\t%d: %s\n", len(all.Arrivals), counts(troubles))
 	_, _ = fmt.Fprintf(w, "calls\t%d: %s\n", len(all.Calls), counts(outcomes))
+	for _, u := range check.Usages(all, site.RetryRatio, site.RetryExtra, site.RetryWindow) {
+		_, _ = fmt.Fprintf(w, "budget\t%v\n", u)
+	}
 	_, _ = fmt.Fprintf(w, "memory\t%.0f MB at most\n", memory)
 	_ = w.Flush()
 	byRule := make(map[string][]check.Finding)
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -18,7 +18,7 @@
 
 // Times of a soak.
 const (
-	calm           = 4 * time.Second // from the start to the first fault
+	maxCalm        = 4 * time.Second // from the start to the first fault; drawn
 	settleTime     = 3 * time.Second // beyond the time to recover, for calls in progress
 	memoryInterval = 250 * time.Millisecond
 	daemonPackage  = "./cmd/currantpulleyd"
@@ -45,8 +45,8 @@
 			return fmt.Errorf("build of the daemon: %w: %s", err, out)
 		}
 	}
-	s := &soak{flags: f, log: log, plan: &plan.Plan{Seed: f.seed, Calm: calm, Duration: calm + f.duration, Dir: dir, Planted: f.planted}}
-	s.plan.Draw(f.daemons, site.Upstreams, f.only)
+	s := &soak{flags: f, log: log, plan: &plan.Plan{Seed: f.seed, Duration: maxCalm + f.duration, Dir: dir, Planted: f.planted}}
+	s.plan.Draw(maxCalm, f.daemons, site.Upstreams, f.only)
 	if err := s.play(ctx); err != nil {
 		return err
 	}
