Let the soak drain upstreams, change the configuration and reload

The faults of processes came one after the other. They come in two series that overlap now. New: upstreams that leave and whose address goes to a new instance, SIGHUP, new versions of the configuration, a route with streams that may not be resumed. A signal reaches only the run of the process that it was meant for.

Records are no longer closed before the process ends.

--- a/bench/soak/caller/attempt.go
+++ b/bench/soak/caller/attempt.go
@@ -53,7 +53,7 @@
 
 // newRequest draws a request.
 func (c *caller) newRequest() *request {
-	route := site.Routes[[]int{0, 0, 0, 1, 1, 2, 2, 2}[c.random.IntN(8)]]
+	route := site.Routes[[]int{0, 0, 0, 1, 1, 2, 2, 3}[c.random.IntN(8)]]
 	q := &request{id: fmt.Sprintf("q%d-%d", c.number, c.requests+1), route: route, method: http.MethodPost, path: route.Prefix + "x"}
 	switch {
 	case route.Stream():
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -9,7 +9,6 @@
 	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/record"
 	"currantpulley/bench/soak/site"
-	"currantpulley/bench/soak/upstream"
 	"currantpulley/platform/standin/names"
 )
 
@@ -27,13 +26,9 @@
 			}
 			span := &record.Span{Kind: f.Kind, Target: s.targetName(f), From: time.Now()}
 			if f.Kind == plan.KillUpstream {
-				span.Instance = upstream.InstanceID(f.Target, s.in.starts[f.Target]-1)
-			}
-			if plan.IsProcess(f.Kind) {
-				s.inject(ctx, f)
-			} else {
-				sleepUntil(ctx, s.plan.Start.Add(f.To))
+				span.Instance = s.in.instance(f.Target)
 			}
+			s.inject(ctx, f)
 			span.To = time.Now()
 			s.record(record.Line{Span: span})
 		})
@@ -46,7 +41,7 @@
 	switch {
 	case f.Target == plan.Everywhere:
 		return "all"
-	case f.Kind == plan.PauseDaemon, f.Kind == plan.KillDaemon, f.Kind == plan.StopDaemon:
+	case plan.IsDaemon(f.Kind):
 		return s.plan.Daemons[f.Target]
 	}
 	return s.plan.Proxies[f.Target].To
@@ -62,7 +57,12 @@
 	}
 }
 
-// inject carries out a fault of a process from its beginning to its end.
+// restoreDelay is the time from a restoration of the store until the operators write
+// the configuration again.
+const restoreDelay = 200 * time.Millisecond
+
+// inject carries out a fault of a process or of the operators from its beginning to its
+// end, and waits for the end of other faults.
 func (s *soak) inject(ctx context.Context, f plan.Fault) {
 	end := s.plan.Start.Add(f.To)
 	switch f.Kind {
@@ -78,8 +78,21 @@
 		s.in.daemons[f.Target].stop(syscall.SIGTERM, site.StopGrace+killGrace)
 		sleepUntil(ctx, end)
 		s.check(s.in.daemons[f.Target].start())
+	case plan.ReloadDaemon:
+		s.in.daemons[f.Target].signal(syscall.SIGHUP)
 	case plan.KillUpstream:
 		s.killUpstream(ctx, f.Target, end)
+	case plan.DrainUpstream:
+		s.drainUpstream(ctx, f.Target, end)
+	case plan.ChangeConfig:
+		s.check(s.in.operator.change(ctx))
+		sleepUntil(ctx, end)
+		s.check(s.in.operator.change(ctx))
+	case plan.StoreRestored:
+		sleepUntil(ctx, end.Add(restoreDelay))
+		s.check(s.in.operator.repeat(ctx))
+	default:
+		sleepUntil(ctx, end)
 	}
 }
 
@@ -92,16 +105,29 @@
 // killUpstream kills an upstream and starts it again as a new instance. The entry of
 // the old one is removed when its time is over.
 func (s *soak) killUpstream(ctx context.Context, number int, end time.Time) {
-	old := upstream.InstanceID(number, s.in.starts[number]-1)
+	old := s.in.instance(number)
 	s.in.upstreams[number].stop(syscall.SIGKILL, time.Second)
 	killed := time.Now()
 	sleepUntil(ctx, end)
 	s.check(s.in.startUpstream(number))
-	if !sleepUntil(ctx, killed.Add(site.EntryTimeout)) {
-		return
+	if sleepUntil(ctx, killed.Add(site.EntryTimeout)) {
+		s.removeEntry(ctx, old)
 	}
+}
+
+// drainUpstream makes an upstream leave and starts a new instance at its address.
+func (s *soak) drainUpstream(ctx context.Context, number int, end time.Time) {
+	old := s.in.instance(number)
+	s.in.upstreams[number].stop(syscall.SIGTERM, 2*site.Drain+time.Second)
+	s.removeEntry(ctx, old)
+	sleepUntil(ctx, end)
+	s.check(s.in.startUpstream(number))
+}
+
+// removeEntry removes the entry of an instance that has ended.
+func (s *soak) removeEntry(ctx context.Context, instance string) {
 	w := names.NewStoreWriter(s.plan.Store)
-	for w.RemoveEntry(ctx, old) != nil && ctx.Err() == nil {
+	for w.RemoveEntry(ctx, instance) != nil && ctx.Err() == nil {
 		time.Sleep(storePoll)
 	}
 }
--- a/bench/soak/installation.go
+++ b/bench/soak/installation.go
@@ -7,11 +7,13 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
 	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/site"
+	"currantpulley/bench/soak/upstream"
 	"currantpulley/platform/standin/names"
 )
 
@@ -38,12 +40,15 @@
 	plan      *plan.Plan
 	planFile  string
 	self      string // path of this program
+	operator  *operator
 	store     *process
 	proxy     *process
 	callers   *process
 	daemons   []*process
 	upstreams []*process
-	starts    []int // of each upstream
+
+	mu     sync.Mutex
+	starts []int // of each upstream
 }
 
 // network returns the first three numbers of the loopback addresses of this soak.
@@ -86,6 +91,7 @@
 		}
 		in.daemons = append(in.daemons, d)
 	}
+	in.operator = newOperator(p.Store)
 	in.store = in.newPart(commandStore)
 	in.proxy = in.newPart(commandProxy)
 	in.callers = in.newPart(commandCaller, "--callers", strconv.Itoa(f.callers))
@@ -125,7 +131,12 @@
 
 // startUpstream starts an upstream as a new instance.
 func (in *installation) startUpstream(i int) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
 	u := in.upstreams[i]
+	if u.current().running() {
+		return nil
+	}
 	proxy := in.plan.Proxies[i]
 	u.argv = in.newPart(commandUpstream, "--number", strconv.Itoa(i), "--generation", strconv.Itoa(in.starts[i]),
 		"--listen", proxy.To, "--announce", proxy.Listen).argv
@@ -133,6 +144,13 @@
 	return u.start()
 }
 
+// instance returns the id of an upstream's newest start.
+func (in *installation) instance(i int) string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return upstream.InstanceID(i, in.starts[i]-1)
+}
+
 // startTimeout bounds the start of the store.
 const startTimeout = 5 * time.Second
 
@@ -152,7 +170,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	if err := putConfig(ctx, in.plan); err != nil {
+	if err := in.operator.change(ctx); err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
 	for _, d := range in.daemons {
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -117,11 +117,10 @@
 	if err != nil {
 		return err
 	}
-	records, err := record.Open(p.Dir, f.name)
+	records, err := record.Open(p.Dir, f.name) // the end of the process closes it
 	if err != nil {
 		return err
 	}
-	defer func() { _ = records.Close() }()
 	switch f.command {
 	case commandStore:
 		return runStore(ctx, p)
--- a/bench/soak/plan/plan.go
+++ b/bench/soak/plan/plan.go
@@ -78,6 +78,9 @@
 	StopDaemon    = "stop-daemon" // SIGTERM
 	PauseUpstream = "pause-upstream"
 	KillUpstream  = "kill-upstream"
+	DrainUpstream = "drain-upstream" // SIGTERM: it announces that it leaves
+	ReloadDaemon  = "reload-daemon"  // SIGHUP
+	ChangeConfig  = "change-config"  // operators write two versions
 )
 
 // Kinds of faults of the network between daemons and upstreams or the store.
@@ -104,7 +107,7 @@
 		CloseAfterRun, CloseAtReuse, CloseIdle, Cut, CutByReset, NoLength, EndlessHead, EndlessInterim, EndlessBody, Garbage, SlotsHeld,
 		Refusing, Silent,
 	}
-	processKinds = []string{PauseDaemon, KillDaemon, StopDaemon, PauseUpstream, KillUpstream}
+	processKinds = []string{PauseDaemon, KillDaemon, StopDaemon, PauseUpstream, KillUpstream, DrainUpstream, ReloadDaemon, ChangeConfig}
 	networkKinds = []string{NetDelay, NetReset, NetOneWay, NetSilent, StoreDown, StoreHang, StoreSlow, StoreLost, StoreRestored}
 )
 
@@ -114,7 +117,12 @@
 // IsUpstream reports whether upstreams carry out faults of a kind themselves.
 func IsUpstream(kind string) bool { return slices.Contains(upstreamKinds, kind) }
 
-// IsProcess reports whether a fault of a kind is a signal to a process.
+// IsDaemon reports whether a fault of a kind is a signal to a daemon.
+func IsDaemon(kind string) bool {
+	return kind == PauseDaemon || kind == KillDaemon || kind == StopDaemon || kind == ReloadDaemon
+}
+
+// IsProcess reports whether the runner of the soak carries out faults of a kind.
 func IsProcess(kind string) bool { return slices.Contains(processKinds, kind) }
 
 // Lengths of faults and of the pauses between them within one series.
@@ -129,7 +137,7 @@
 func (p *Plan) Draw(maxCalm time.Duration, daemons, upstreams int, only []string) {
 	r := rand.New(rand.NewPCG(p.Seed, 1)) //nolint:gosec // random faults need no secure source
 	p.Calm = time.Duration(r.Int64N(int64(maxCalm)))
-	for i, kinds := range [][]string{upstreamKinds, upstreamKinds, upstreamKinds, processKinds, networkKinds} {
+	for i, kinds := range [][]string{upstreamKinds, upstreamKinds, upstreamKinds, processKinds, processKinds, networkKinds} {
 		if len(only) > 0 {
 			kinds = slices.DeleteFunc(slices.Clone(kinds), func(k string) bool { return !slices.Contains(only, k) })
 		}
@@ -146,9 +154,9 @@
 		f := Fault{Kind: kinds[r.IntN(len(kinds))], From: at, Target: Everywhere, Share: 0.05 + 0.45*r.Float64()}
 		f.To = min(p.Duration, at+minLength+time.Duration(r.Int64N(int64(maxLength-minLength))))
 		switch {
-		case f.Kind == PauseDaemon, f.Kind == KillDaemon, f.Kind == StopDaemon:
+		case IsDaemon(f.Kind):
 			f.Target = r.IntN(daemons)
-		case IsStore(f.Kind): // there is one
+		case IsStore(f.Kind), f.Kind == ChangeConfig: // there is one
 		case IsNetwork(f.Kind):
 			f.Target = r.IntN(upstreams + 1) // the last proxy is the store's
 		case IsProcess(f.Kind), r.IntN(3) > 0:
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -20,94 +20,101 @@
 	argv []string
 	env  []string
 
-	mu   sync.Mutex
+	mu  sync.Mutex
+	run *run // nil: not started yet
+}
+
+// run is one run of a program.
+type run struct {
 	cmd  *exec.Cmd
-	done chan struct{} // closed when cmd has ended
+	done chan struct{} // closed when it has ended
 }
 
-// start starts the program. Its output is appended to its log.
+// start starts the program unless it runs. Its output is appended to its log.
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.run.running() {
+		return nil
+	}
 	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(p.argv[0], p.argv[1:]...) //nolint:gosec // programs of this soak
-	cmd.Env = append(os.Environ(), p.env...)
-	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	r := &run{cmd: exec.Command(p.argv[0], p.argv[1:]...), done: make(chan struct{})} //nolint:gosec // programs of this soak
+	r.cmd.Env = append(os.Environ(), p.env...)
+	r.cmd.Stdout, r.cmd.Stderr = log, log
+	if err := r.cmd.Start(); err != nil {
 		return err
 	}
-	done := make(chan struct{})
-	p.cmd, p.done = cmd, done
+	p.run = r
 	go func() {
-		_ = cmd.Wait()
+		_ = r.cmd.Wait()
 		_ = log.Close()
-		close(done)
+		close(r.done)
 	}()
 	return nil
 }
 
-// running reports whether the program has not ended.
-func (p *process) running() bool {
+// current returns the newest run, nil if there was none.
+func (p *process) current() *run {
 	p.mu.Lock()
-	done := p.done
-	p.mu.Unlock()
-	if done == nil {
+	defer p.mu.Unlock()
+	return p.run
+}
+
+// signal sends a signal to the program if it runs.
+func (p *process) signal(s syscall.Signal) { p.current().signal(s) }
+
+// stop sends a signal, waits until the program has ended and kills it if that takes
+// longer than patience.
+func (p *process) stop(s syscall.Signal, patience time.Duration) {
+	r := p.current()
+	r.signal(s)
+	r.wait(patience)
+	r.signal(syscall.SIGKILL)
+	r.wait(time.Second)
+}
+
+// running reports whether the run has begun and not ended.
+func (r *run) running() bool {
+	if r == nil {
 		return false
 	}
 	select {
-	case <-done:
+	case <-r.done:
 		return false
 	default:
 		return true
 	}
 }
 
-// signal sends a signal to the program unless it has ended.
-func (p *process) signal(s syscall.Signal) {
-	if !p.running() {
-		return
+func (r *run) signal(s syscall.Signal) {
+	if r.running() {
+		_ = r.cmd.Process.Signal(s) // it may have ended just now
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_ = p.cmd.Process.Signal(s)
 }
 
-// stop sends a signal, waits until the program has ended and kills it if that takes
-// longer than patience.
-func (p *process) stop(s syscall.Signal, patience time.Duration) {
-	if !p.running() {
+// wait waits until the run has ended, at most for some time.
+func (r *run) wait(most time.Duration) {
+	if r == nil {
 		return
 	}
-	p.signal(s)
-	p.wait(patience)
-	p.signal(syscall.SIGKILL)
-	p.wait(time.Second)
-}
-
-// wait waits until the program has ended, at most for some time.
-func (p *process) wait(most time.Duration) {
-	p.mu.Lock()
-	done := p.done
-	p.mu.Unlock()
 	select {
-	case <-done:
+	case <-r.done:
 	case <-time.After(most):
 	}
 }
 
-// memoryMB returns the program's resident memory, 0 if it has ended.
+// memoryMB returns the program's resident memory, 0 if it does not run.
 func (p *process) memoryMB() float64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.cmd == nil {
+	r := p.current()
+	if !r.running() {
 		return 0
 	}
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
 	if err != nil {
-		return 0 // it has ended
+		return 0 // it has ended just now
 	}
 	for line := range strings.SplitSeq(string(data), "\n") {
 		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
--- a/bench/soak/recovery.go
+++ b/bench/soak/recovery.go
@@ -45,7 +45,7 @@
 	defer cancel()
 	path := route.Prefix + "x"
 	if route.Stream() {
-		path = route.Prefix + "3"
+		path = route.Prefix + "3" // events
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+daemon+path, strings.NewReader("probe"))
 	if err != nil {
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -76,7 +76,7 @@
 	memory := s.sampleMemory(sampling)
 	s.injectAll(ctx)
 	s.awaitRecovery(ctx)
-	s.in.callers.wait(settleTime)
+	s.in.callers.current().wait(settleTime)
 	stop()
 	for name, peak := range <-memory {
 		if s.plan.Plants(check.RuleMemory) {
--- a/bench/soak/site/site.go
+++ b/bench/soak/site/site.go
@@ -2,6 +2,7 @@
 package site
 
 import (
+	"fmt"
 	"time"
 
 	"currantpulley/platform/standin/names"
@@ -42,6 +43,7 @@
 	AnswerSlack  = time.Second      // beyond a call's limit
 	EntryTimeout = 3600 * time.Millisecond
 	Heartbeat    = 1200 * time.Millisecond
+	Drain        = 2 * time.Second // for which a leaving upstream serves
 )
 
 // Route is a route as callers use it.
@@ -51,34 +53,49 @@
 	Kind    string
 	Prefix  string
 	Timeout time.Duration
+	// Resumable: a stream that may go on at another upstream
+	Resumable bool
 }
 
 // Once reports whether a request of the route may run once at most.
-func (r Route) Once() bool { return r.Kind == names.KindUnsafe }
+func (r Route) Once() bool {
+	return r.Kind == names.KindUnsafe || r.Stream() && !r.Resumable
+}
 
 // Stream reports whether the route's answers are streams of events.
 func (r Route) Stream() bool { return r.Kind == names.KindStreaming }
 
+const (
+	plainTimeout  = 1500 * time.Millisecond
+	streamTimeout = 5 * time.Second
+)
+
 // Routes of the installation.
 var (
-	RouteOnce   = Route{"once", Plain, names.KindUnsafe, "/once/", 1500 * time.Millisecond}
-	RouteSafe   = Route{"safe", Plain, names.KindSafe, "/safe/", 1500 * time.Millisecond}
-	RouteStream = Route{"stream", Engine, names.KindStreaming, "/stream/", 5 * time.Second}
-	Routes      = []Route{RouteOnce, RouteSafe, RouteStream}
+	RouteOnce   = Route{Name: "once", Service: Plain, Kind: names.KindUnsafe, Prefix: "/once/", Timeout: plainTimeout}
+	RouteSafe   = Route{Name: "safe", Service: Plain, Kind: names.KindSafe, Prefix: "/safe/", Timeout: plainTimeout}
+	RouteStream = Route{Name: "stream", Service: Engine, Kind: names.KindStreaming, Prefix: "/stream/", Timeout: streamTimeout, Resumable: true}
+	RouteTalk   = Route{Name: "talk", Service: Engine, Kind: names.KindStreaming, Prefix: "/talk/", Timeout: streamTimeout}
+	Routes      = []Route{RouteOnce, RouteSafe, RouteStream, RouteTalk}
 )
 
-// Attempts is the number of upstreams to which one call may be sent.
+// maxAttempts is the number of upstreams to which one call may be sent.
 const maxAttempts = 2
 
-// Config returns the operators' configuration.
+// Config returns a version of the operators' configuration. Each has another route that
+// no caller uses.
 func Config(version int) names.Config {
 	c := names.Config{Version: version}
 	for _, r := range Routes {
 		c.Routes = append(c.Routes, names.Route{
 			Name: r.Name, Host: Host, Prefix: r.Prefix, Kind: r.Kind, Service: r.Service, TimeoutMS: int(r.Timeout.Milliseconds()),
-			LatencyMS: int(r.Timeout.Milliseconds()) / 4, MaxAttempts: maxAttempts, Prompted: r.Stream(), Resumable: r.Stream(),
+			LatencyMS: int(r.Timeout.Milliseconds()) / 4, MaxAttempts: maxAttempts, Prompted: r.Stream(), Resumable: r.Resumable,
 		})
 	}
+	unused := c.Routes[0]
+	unused.Name = fmt.Sprint("unused-", version)
+	unused.Prefix = "/" + unused.Name + "/"
+	c.Routes = append(c.Routes, unused)
 	engine := &names.Engine{Slots: EngineSlots, CacheTokens: 100_000, Models: []names.EngineModel{{Name: Model}}}
 	c.Services = []names.Service{
 		{Name: Plain, HealthPath: names.PathHealth},
--- a/bench/soak/store.go
+++ b/bench/soak/store.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"currantpulley/bench/soak/plan"
-	"currantpulley/bench/soak/site"
 	"currantpulley/platform/standin"
-	"currantpulley/platform/standin/names"
 )
 
 // storePoll is the time between two looks at the plan.
@@ -31,27 +29,12 @@
 		case !restoring && restore != nil:
 			restore()
 			restore = nil
-			if err := putConfig(ctx, p); err != nil {
-				return err
-			}
 		}
 		time.Sleep(storePoll)
 	}
 	return nil
 }
 
-// putConfig writes the operators' configuration until the store accepts it.
-func putConfig(ctx context.Context, p *plan.Plan) error {
-	w := names.NewStoreWriter(p.Store)
-	for {
-		err := w.PutConfig(ctx, site.Config(1))
-		if err == nil || ctx.Err() != nil {
-			return ctx.Err()
-		}
-		time.Sleep(storePoll)
-	}
-}
-
 // storeFault draws the fault of one call.
 func storeFault(p *plan.Plan) standin.Fault {
 	for _, f := range p.Active(time.Now(), plan.Everywhere, plan.IsStore) {
--- a/bench/soak/upstream/stream.go
+++ b/bench/soak/upstream/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -12,7 +13,6 @@
 	"currantpulley/bench/soak/check"
 	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/record"
-	"currantpulley/bench/soak/site"
 	"currantpulley/platform/standin/names"
 )
 
@@ -30,7 +30,7 @@
 
 // answerStream answers a request to an engine that ran.
 func (u *Upstream) answerStream(c net.Conn, r *http.Request, a record.Arrival) bool {
-	total, _ := strconv.Atoi(strings.TrimPrefix(r.URL.Path, site.RouteStream.Prefix))
+	total, _ := strconv.Atoi(path.Base(r.URL.Path))
 	last, _ := strconv.Atoi(r.Header.Get(names.LastEvent))
 	if kept, done := u.misbehave(c, r, a.Trouble); done {
 		return kept
--- a/bench/soak/upstream/upstream.go
+++ b/bench/soak/upstream/upstream.go
@@ -12,7 +12,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -63,12 +62,19 @@
 	if err != nil {
 		return err
 	}
-	go u.heartbeat(ctx)
-	context.AfterFunc(ctx, func() { _ = l.Close() })
+	served := make(chan struct{})
+	go func() {
+		u.heartbeat(ctx)
+		u.leave()
+		close(served)
+		_ = l.Close()
+	}()
 	for {
 		c, err := l.Accept()
-		if ctx.Err() != nil {
+		select {
+		case <-served:
 			return nil
+		default:
 		}
 		if err != nil {
 			return err
@@ -84,14 +90,7 @@
 func (u *Upstream) heartbeat(ctx context.Context) {
 	w := names.NewStoreWriter(u.opts.Plan.Store)
 	for n := 1; ctx.Err() == nil; n++ {
-		e := names.Entry{
-			Service: u.service, Address: u.opts.Announce, Zone: "a", Software: site.SoftwareOf(u.opts.Number), Slots: u.slots,
-			State: names.StateReady, Born: u.born.UnixMilli(), Sequence: n,
-		}
-		if u.service == site.Engine {
-			e.Models = []names.EngineModel{{Name: site.Model, Version: site.Weights}}
-		}
-		if err := w.PutEntry(ctx, u.id, e); err != nil {
+		if err := w.PutEntry(ctx, u.id, u.entry(names.StateReady, n)); err != nil {
 			u.opts.Log.Debug().Err(err).Msg("entry not written")
 		}
 		select {
@@ -101,6 +100,32 @@
 	}
 }
 
+// entry returns the upstream's registration.
+func (u *Upstream) entry(state string, sequence int) names.Entry {
+	e := names.Entry{
+		Service: u.service, Address: u.opts.Announce, Zone: "a", Software: site.SoftwareOf(u.opts.Number), Slots: u.slots,
+		State: state, Born: u.born.UnixMilli(), Sequence: sequence,
+	}
+	if u.service == site.Engine {
+		e.Models = []names.EngineModel{{Name: site.Model, Version: site.Weights}}
+	}
+	return e
+}
+
+// leave announces that the upstream leaves and returns when it may end.
+func (u *Upstream) leave() {
+	w := names.NewStoreWriter(u.opts.Plan.Store)
+	ctx, cancel := context.WithTimeout(context.Background(), site.Drain)
+	defer cancel()
+	for w.PutEntry(ctx, u.id, u.entry(names.StateDraining, 0)) != nil && ctx.Err() == nil {
+		time.Sleep(leavePause)
+	}
+	time.Sleep(site.Drain + leavePause)
+}
+
+// leavePause is the pause between two calls to the store of an upstream that leaves.
+const leavePause = 100 * time.Millisecond
+
 // serve serves the requests of one connection.
 func (u *Upstream) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
@@ -205,7 +230,7 @@
 		time.Sleep(u.between(minHeldWork, maxHeldWork))
 	}
 	time.Sleep(u.between(minWork, maxWork))
-	if strings.HasPrefix(r.URL.Path, site.RouteStream.Prefix) {
+	if u.service == site.Engine {
 		return u.answerStream(c, r, a)
 	}
 	return u.answerPlain(c, r, a)
