--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -143,19 +143,19 @@
 }
 
 // brokenOffUnnoticed reports whether an answer without a length, which ends with its
-// connection, may have ended because its upstream was killed. Nobody can tell that end
-// from the proper one.
+// connection, may have ended because its upstream's process ended. Nobody can tell that
+// end from the proper one.
 func brokenOffUnnoticed(r *record.All, attempt string) bool {
 	return slices.ContainsFunc(r.Arrivals, func(a record.Arrival) bool {
-		return a.Attempt == attempt && a.Ran && slices.Contains(unframedTroubles, a.Trouble) && wasKilled(r, a.Upstream)
+		return a.Attempt == attempt && a.Ran && slices.Contains(unframedTroubles, a.Trouble) && hasEnded(r, a.Upstream)
 	})
 }
 
 // unframedTroubles are the troubles with answers without a length.
 var unframedTroubles = []string{plan.NoLength, plan.EndlessBody, plan.CutByReset}
 
-func wasKilled(r *record.All, instance string) bool {
-	return slices.ContainsFunc(r.Spans, func(s record.Span) bool { return s.Kind == plan.KillUpstream && s.Instance == instance })
+func hasEnded(r *record.All, instance string) bool {
+	return slices.ContainsFunc(r.Spans, func(s record.Span) bool { return s.Instance == instance })
 }
 
 // isOrder reports whether a problem of an answer concerns the order of its events.
--- a/bench/soak/record/record.go
+++ b/bench/soak/record/record.go
@@ -78,7 +78,7 @@
 	Target string    `json:"target"`
 	From   time.Time `json:"from"`
 	To     time.Time `json:"to"`
-	// Instance is the id of the upstream that was killed.
+	// Instance is the id of the upstream whose process ended.
 	Instance string `json:"instance,omitempty"`
 }
 
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -11,7 +11,7 @@
 	"currantpulley/bench/soak/check"
 )
 
-// builds builds the soak and the daemon and returns a function that runs the soak
+// build builds the soak and the daemon and returns a function that runs the soak
 // and returns its output.
 func build(t *testing.T) (run func(args ...string) (string, error)) {
 	t.Helper()
@@ -39,6 +39,7 @@
 
 // Guards against a soak whose parts together no longer find what each rule is for.
 func TestPlantedFaultsAreFound(t *testing.T) {
+	t.Parallel()
 	run := build(t)
 	args := []string{"--duration", "3s", "--daemons", "3", "--only", "close-idle"}
 	for _, rule := range check.Rules {
@@ -63,6 +64,7 @@
 
 // Guards against broken promises under the faults of two seeds.
 func TestSeeds(t *testing.T) {
+	t.Parallel()
 	run := build(t)
 	for _, seed := range []string{"1", "2"} {
 		if out, err := run("--seed", seed, "--duration", "10s", "--daemons", "4"); err != nil {
