Check in the soak that upstreams run what callers sent

New rule UNASKED: a run whose id no caller sent, or whose method, path, body or prompt headers are not the caller's. It matters for requests that are sent early or in chunks. A few bodies are large now. Each has a unit test and a plant.

--- a/bench/soak/caller/attempt.go
+++ b/bench/soak/caller/attempt.go
@@ -20,6 +20,7 @@
 	header   []string // further names and values
 	body     string
 	chunked  bool
+	digest   string
 	events   int // of the whole stream
 	deadline time.Time
 }
@@ -46,8 +47,10 @@
 	maxBody     = 6000 // bytes
 	bodyShare   = 0.6  // of the requests whose method may have a body
 	chunkShare  = 0.3  // of the bodies
-	keyShare    = 0.4  // of the requests, with a header that calls them idempotent
-	hurryShare  = 0.2  // of the requests, with a deadline shorter than the route's timeout
+	largeShare  = 0.04 // of the bodies
+	largeFactor = 40
+	keyShare    = 0.4 // of the requests, with a header that calls them idempotent
+	hurryShare  = 0.2 // of the requests, with a deadline shorter than the route's timeout
 	promptToken = 200
 )
 
@@ -71,9 +74,14 @@
 		q.header = append(q.header, name, q.id)
 	}
 	if (q.method == http.MethodPost || q.method == http.MethodPut) && c.chance(bodyShare) {
-		q.body = strings.Repeat("b", 1+c.random.IntN(maxBody))
+		size := 1 + c.random.IntN(maxBody)
+		if c.chance(largeShare) {
+			size *= largeFactor
+		}
+		q.body = strings.Repeat("b", size)
 		q.chunked = c.chance(chunkShare)
 	}
+	q.digest = record.Digest(q.method, q.path, q.body, q.headerValue(names.Model), q.headerValue(names.TokenUsage), q.headerValue(names.PromptParts))
 	wait := route.Timeout
 	if c.chance(hurryShare) {
 		wait /= 2
@@ -82,6 +90,16 @@
 	return q
 }
 
+// headerValue returns the value of a further header, "" if it isn't sent.
+func (q *request) headerValue(name string) string {
+	for i := 0; i+1 < len(q.header); i += 2 {
+		if q.header[i] == name {
+			return q.header[i+1]
+		}
+	}
+	return ""
+}
+
 // newAttempt returns the first attempt of a request on the kept connection.
 func (c *caller) newAttempt(q *request) *attempt {
 	return &attempt{request: q, call: c.newCall(q)}
@@ -90,7 +108,7 @@
 func (c *caller) newCall(q *request) record.Call {
 	return record.Call{
 		Attempt: c.newID(), Request: q.id, Service: q.route.Service, Route: q.route.Name, Once: q.route.Once(), Method: q.method,
-		Limit: min(time.Until(q.deadline), q.route.Timeout), Total: q.events, Chunked: q.chunked,
+		Limit: min(time.Until(q.deadline), q.route.Timeout), Total: q.events, Chunked: q.chunked, Digest: q.digest,
 	}
 }
 
--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -20,6 +20,7 @@
 	RuleRefused = "REFUSED" // a call was refused as not run and ran
 	RuleBudget  = "BUDGET"  // a service got more repeats than allowed
 	RuleMixed   = "MIXED"   // an answer is not its upstream's whole answer to this call
+	RuleUnasked = "UNASKED" // an upstream ran what no caller sent, or something else
 	RuleOrder   = "ORDER"   // a stream is not whole, in order and of one software version
 	RuleLost    = "LOST"    // connections were closed without an answer though nothing was wrong
 	RuleLate    = "LATE"    // neither an answer nor a close in time
@@ -30,7 +31,7 @@
 
 // Rules lists the rules in the order of the report.
 var Rules = []string{
-	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleOrder, RuleLost, RuleLate, RuleDenied, RuleRecover, RuleMemory,
+	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleUnasked, RuleOrder, RuleLost, RuleLate, RuleDenied, RuleRecover, RuleMemory,
 }
 
 // Finding is a broken promise.
@@ -44,7 +45,7 @@
 func All(r *record.All) []Finding {
 	return slices.Concat(
 		Twice(r), Refused(r), Budget(r, site.RetryRatio, site.RetryExtra, site.RetryWindow),
-		Mixed(r), Order(r), Lost(r), Late(r), Denied(r), Recover(r), Memory(r),
+		Mixed(r), Unasked(r), Order(r), Lost(r), Late(r), Denied(r), Recover(r), Memory(r),
 	)
 }
 
@@ -158,6 +159,26 @@
 	return slices.ContainsFunc(r.Spans, func(s record.Span) bool { return s.Instance == instance })
 }
 
+// Unasked checks that upstreams ran only what callers sent, unchanged.
+func Unasked(r *record.All) []Finding {
+	digests := make(map[string]string)
+	for _, c := range r.Calls {
+		digests[c.Attempt] = c.Digest
+	}
+	var out []Finding
+	for _, a := range r.Arrivals {
+		digest, sent := digests[a.Attempt]
+		if !a.Ran || sent && digest == a.Digest || strings.HasPrefix(a.Attempt, ProbePrefix) {
+			continue
+		}
+		out = append(out, Finding{RuleUnasked, a.At, fmt.Sprintf("%s %s at %s: sent by a caller %t", a.Attempt, a.Method, a.Upstream, sent)})
+	}
+	return out
+}
+
+// ProbePrefix begins the ids of the probes after the last fault, which no caller sends.
+const ProbePrefix = "probe-"
+
 // isOrder reports whether a problem of an answer concerns the order of its events.
 func isOrder(problem string) bool {
 	return strings.HasPrefix(problem, "event ") || strings.HasPrefix(problem, "the stream ")
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -89,6 +89,10 @@
 		{"failure where the upstream answered another one", RuleMixed, func(r *record.All) {
 			r.Arrivals[7].Status, call(r, 7).Status = 500, 502
 		}},
+		{"another body", RuleUnasked, func(r *record.All) { r.Arrivals[7].Digest = "changed" }},
+		{"a call of nobody", RuleUnasked, func(r *record.All) {
+			r.Arrivals = append(r.Arrivals, record.Arrival{Attempt: "nobody", Service: site.Plain, At: at(9000), Ran: true})
+		}},
 		{"gap in a stream", RuleOrder, func(r *record.All) { call(r, 202).Problem = "event \"id: 3\" after event 1" }},
 		{"two software versions over two attempts", RuleOrder, func(r *record.All) { call(r, 202).Events[0].Software = "v2" }},
 		{"closed without an answer", RuleLost, func(r *record.All) {
--- a/bench/soak/record/body.go
+++ b/bench/soak/record/body.go
@@ -4,8 +4,20 @@
 	"fmt"
 	"strconv"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
+// Digest returns a digest of what an upstream must get as the caller sent it: method,
+// path, body and further headers.
+func Digest(method, path, body string, headers ...string) string {
+	h := xxhash.New()
+	for _, part := range append([]string{method, path, body}, headers...) {
+		_, _ = fmt.Fprintf(h, "%d %s ", len(part), part) // never fails
+	}
+	return fmt.Sprintf("%x", h.Sum64())
+}
+
 // Body returns the body of an upstream's answer to an attempt: it names the attempt,
 // the seal and its own size.
 func Body(attempt, seal string, size int) string {
--- a/bench/soak/record/record.go
+++ b/bench/soak/record/record.go
@@ -27,6 +27,7 @@
 	Seal     string    `json:"seal,omitempty"`
 	Trouble  string    `json:"trouble,omitempty"`
 	Method   string    `json:"method"`
+	Digest   string    `json:"digest"` // of the request, see Digest
 }
 
 // Outcome is how a call ended for its caller.
@@ -49,6 +50,7 @@
 	Route     string        `json:"route"`
 	Once      bool          `json:"once"` // may run once at most
 	Method    string        `json:"method"`
+	Digest    string        `json:"digest"` // of the request, see Digest
 	Daemon    string        `json:"daemon"`
 	Reused    bool          `json:"reused"`  // the connection had served another request
 	Chunked   bool          `json:"chunked"` // the body was sent in chunks
--- a/bench/soak/recovery.go
+++ b/bench/soak/recovery.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"currantpulley/bench/soak/check"
 	"currantpulley/bench/soak/record"
 	"currantpulley/bench/soak/site"
 	"currantpulley/platform/standin/names"
@@ -27,7 +28,7 @@
 			all.Go(func() {
 				after := time.Duration(-1)
 				for n := 0; after < 0 && ctx.Err() == nil && time.Since(began) < site.Recovery; n++ {
-					if probe(ctx, d, route, fmt.Sprintf("probe-%d-%s-%d", i, route.Name, n)) {
+					if probe(ctx, d, route, fmt.Sprintf("%s%d-%s-%d", check.ProbePrefix, i, route.Name, n)) {
 						after = time.Since(began)
 					}
 					time.Sleep(probePause)
--- a/bench/soak/upstream/upstream.go
+++ b/bench/soak/upstream/upstream.go
@@ -138,10 +138,11 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
-		if !u.respond(c, r) {
+		if !u.respond(c, r, string(body)) {
 			return
 		}
 	}
@@ -162,13 +163,13 @@
 }
 
 // respond answers one request and reports whether the connection can be kept.
-func (u *Upstream) respond(c net.Conn, r *http.Request) bool {
+func (u *Upstream) respond(c net.Conn, r *http.Request, body string) bool {
 	if r.Header.Get(names.AttemptID) == "" {
 		return u.respondToControl(c, r)
 	}
 	a := record.Arrival{
 		Attempt: r.Header.Get(names.AttemptID), Service: u.service, Upstream: u.id, Software: site.SoftwareOf(u.opts.Number),
-		At: time.Now(), Method: r.Method,
+		At: time.Now(), Method: r.Method, Digest: digest(r, body),
 	}
 	expected := r.Header.Get(names.ExpectInstance)
 	version := r.Header.Get(names.ExpectVersion)
@@ -184,9 +185,18 @@
 	}
 	defer u.release()
 	a.Ran = true
+	if u.plants(check.RuleUnasked, r) {
+		a.Digest = digest(r, body+"changed")
+	}
 	return u.run(c, r, a)
 }
 
+// digest returns the digest of a request.
+func digest(r *http.Request, body string) string {
+	h := r.Header
+	return record.Digest(r.Method, r.RequestURI, body, h.Get(names.Model), h.Get(names.TokenUsage), h.Get(names.PromptParts))
+}
+
 // refuse answers that the request did not run.
 func (u *Upstream) refuse(c net.Conn, r *http.Request, a record.Arrival, status int) bool {
 	a.Status = status
