Believe no response to a request that has no id

A call without an id that must run once ran twice, or was refused as not run although it ran, when a response without an id that states "not run" came on a kept connection.

Cause: checkHead compares the id of the response with that of the request, and both are empty then. Callers always send one, and replicas reject a request without (400), so this is a gap in the proof rather than a cause of the incident.

Ruled out: to refuse such requests before they are sent, which needs an answer of its own (TestCallerGoneEndsTheRun sends one, unchanged).

Evidence: TestResponseWithoutAnIDProvesNothing failed before ("a call without an id ran 2 times"); all tests of internal/gateway pass with -race.

Conclusion: a response is believed only if an id says that it belongs to the request.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -311,7 +311,7 @@
 // upstream, an unsigned response below status 400, an encoded one, and a server error
 // that may be retried.
 func (g *Gateway) checkHead(q *request, a *attempt) error {
-	if a.head.ID != q.ID {
+	if q.ID == "" || a.head.ID != q.ID { // without an id nothing tells whose a response is
 		q.runs++
 		a.response.Discard()
 		return &failedAttempt{sent: true, err: fmt.Errorf("%w: %q instead of %q", upstream.ErrWrongRequestID, a.head.ID, q.ID)}
