Answer 502 where the log fails and an earlier call may have run

In the product's own mode a call with an idempotency key that can't be recorded got 503 with "X-Effect: unknown", although an earlier call with its key may have run. Callers and the libraries below them take 503 for "not run".

Cause: a refusal's status followed from its code alone; log_unavailable is used with both effects.

A repeat under the same key is not run twice either way.

Conclusion: no status of this mode promises what its effect does not.

--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -122,12 +122,22 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Status returns the HTTP status of the refusal's code.
+// Status returns the HTTP status of the refusal's code, or 502 instead of one that
+// callers take for the statement that the request did not run, if it may have run.
 func (e *Error) Status() int {
-	if s, ok := statusByCode[e.Code]; ok {
-		return s
+	status, ok := statusByCode[e.Code]
+	if !ok {
+		return http.StatusInternalServerError
 	}
-	return http.StatusInternalServerError
+	if e.Effect == Unknown && impliesNotRun[status] {
+		return http.StatusBadGateway
+	}
+	return status
+}
+
+// impliesNotRun lists the statuses of codes that callers take for "not run".
+var impliesNotRun = map[int]bool{
+	http.StatusRequestTimeout: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
 }
 
 // Body is the JSON form of a refusal, in the error format of the OpenAI API.
