Reset cut HTTP/1.0 responses at the end of the process too

A caller that takes the end of the connection for that of the body saw a response as complete that the end of the grace period had cut.

Cause: Server.Close closed the connection without a reset, unlike Writer.Abort.

Change: both use one function, which knows whether the response ends with its connection.

Evidence: the case "close" of TestCutStreamToHTTP10IsReset, which replaces TestAbortedStreamToHTTP10IsReset and holds its case, failed before.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -63,8 +63,9 @@
 	readError error          // of the read ahead
 	refused   *refusal.Error // with which all requests are refused; nil: they are served
 
-	early atomic.Bool // a byte of the next request has come while the handler runs
-	ended atomic.Bool // no further request is read
+	early    atomic.Bool // a byte of the next request has come while the handler runs
+	ended    atomic.Bool // no further request is read
+	unframed atomic.Bool // the response ends with the connection
 
 	mu   sync.Mutex
 	idle bool // no byte of the next request was read
@@ -323,12 +324,11 @@
 	c.closeWrite()
 }
 
-// abort closes the connection at once. Requests that were read ahead are dropped.
-// With reset, the caller gets an error where it would take the end of the connection
-// for that of the response.
-func (c *conn) abort(reset bool) {
+// abort closes the connection at once. Requests that were read ahead are dropped. A
+// caller that takes the end of the connection for that of the response gets a reset.
+func (c *conn) abort() {
 	c.ended.Store(true)
-	if t, ok := c.tcp.(*net.TCPConn); ok && reset {
+	if t, ok := c.tcp.(*net.TCPConn); ok && c.unframed.Load() {
 		_ = t.SetLinger(0)
 	}
 	_ = c.tcp.Close()
--- a/internal/server/responses_test.go
+++ b/internal/server/responses_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -93,19 +95,33 @@
 
 // Guards against a cut response that looks complete to a caller that takes the end
 // of the connection for that of the body.
-func TestAbortedStreamToHTTP10IsReset(t *testing.T) {
-	c := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "event 0\n")
-		time.Sleep(20 * time.Millisecond)
-		if sw, ok := w.(*server.Writer); ok {
-			sw.Abort()
+func TestCutStreamToHTTP10IsReset(t *testing.T) {
+	for _, cut := range []string{"abort", "close"} {
+		written := make(chan struct{})
+		s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: testLimits, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, "event 0\n")
+			close(written)
+			time.Sleep(20 * time.Millisecond)
+			if sw, ok := w.(*server.Writer); ok && cut == "abort" {
+				sw.Abort()
+			}
+			<-r.Context().Done()
+		})})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		c := dial(t, s.Address())
+		_, _ = io.WriteString(c, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
+		<-written
+		if cut == "close" {
+			time.AfterFunc(20*time.Millisecond, s.Close)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		data, err := io.ReadAll(c)
+		if !strings.Contains(string(data), "event 0") || !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%s: %q ends with %v, want a reset", cut, data, err)
 		}
-	})
-	_, _ = io.WriteString(c, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
-	_ = c.SetReadDeadline(time.Now().Add(time.Second))
-	data, err := io.ReadAll(c)
-	if !strings.Contains(string(data), "event 0") || err == nil {
-		t.Errorf("%q ends with %v, want a reset", data, err)
 	}
 }
 
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -149,7 +149,7 @@
 	defer s.mu.Unlock()
 	s.closed = true
 	for _, c := range s.conns {
-		_ = c.tcp.Close()
+		c.abort()
 	}
 }
 
@@ -201,7 +201,7 @@
 		return
 	}
 	if !c.whole() {
-		c.abort(false) // nbhttp's parser ended the request before conn did
+		c.abort() // nbhttp's parser ended the request before conn did
 		return
 	}
 	trimValues(r)
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -113,6 +113,7 @@
 		h.Set("Transfer-Encoding", "chunked")
 	default:
 		w.closing = true
+		w.conn.unframed.Store(true)
 	}
 	h.Del("Connection")
 	if w.closing {
@@ -209,7 +210,7 @@
 	if w.err == nil {
 		w.err = errAborted
 	}
-	w.conn.abort(w.begun && !w.isHTTP11)
+	w.conn.abort()
 }
 
 // abortOnPanic is deferred around the handler. A response that was begun can't be
