Keep callers' responses out of what libraries print

net/http printed the first bytes of a response that belongs to no request to standard error, beside the log: parts of callers' answers could stand there.

What libraries write with package log becomes event 1010 now, without the bytes that net/http quotes.

--- a/internal/daemon/run/run.go
+++ b/internal/daemon/run/run.go
@@ -13,7 +13,9 @@
 
 	"currantpulley/internal/daemon"
 	"currantpulley/internal/eventlog"
+	"currantpulley/internal/observe"
 	"currantpulley/internal/settings"
+	"currantpulley/internal/timeline"
 )
 
 // flags holds the command-line flags. Most of them override the settings file.
@@ -86,7 +88,9 @@
 func serve(s settings.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	d, err := daemon.Start(context.Background(), s, daemon.WithLogger(eventlog.NewLogger(os.Stderr, s.VM, s.LogLevel)))
+	logger := eventlog.NewLogger(os.Stderr, s.VM, s.LogLevel)
+	observe.RecordLibraryLog(timeline.NewRecorder(s.VM, timeline.NewClock(nil), logger, 0))
+	d, err := daemon.Start(context.Background(), s, daemon.WithLogger(logger))
 	if err != nil {
 		return err
 	}
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -10,6 +10,7 @@
 	DaemonDetached   ID = 1007
 	DaemonReattached ID = 1008
 	SiteMissing      ID = 1009
+	LibraryMessage   ID = 1010
 )
 
 var processEvents = []Definition{
@@ -21,4 +22,5 @@
 	{DaemonDetached, "daemon_detached", Warn, "Neither the log nor any peer answers; the daemon admits no requests because a newer configuration version may be in force."},
 	{DaemonReattached, "daemon_reattached", Info, "The log or a peer answers again; the daemon admits requests."},
 	{SiteMissing, "site_missing", Error, "The configuration version in force has no overlay for this daemon's site; the daemon keeps its previous configuration."},
+	{LibraryMessage, "library_message", Warn, "A library reported a problem, for example a response that belongs to no request."},
 }
