Wait in the soak until all callers have recorded their calls

They were of the soak itself: callers were ended 3 s after the traffic, while streams may take 8 s, so their last calls were missing in all checks. The soak waits for the callers now and fails if they don't end.

--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -18,8 +19,8 @@
 
 // Times of a soak.
 const (
-	maxCalm        = 4 * time.Second // from the start to the first fault; drawn
-	settleTime     = 3 * time.Second // beyond the time to recover, for calls in progress
+	maxCalm        = 4 * time.Second  // from the start to the first fault; drawn
+	settleTime     = 12 * time.Second // at most, for calls in progress after the time to recover
 	memoryInterval = 250 * time.Millisecond
 	daemonPackage  = "./cmd/currantpulleyd"
 )
@@ -73,10 +74,14 @@
 		return err
 	}
 	sampling, stop := context.WithCancel(ctx)
+	defer stop()
 	memory := s.sampleMemory(sampling)
 	s.injectAll(ctx)
 	s.awaitRecovery(ctx)
 	s.in.callers.current().wait(settleTime)
+	if s.in.callers.current().running() {
+		return errors.New("the callers did not end, so their last calls are not recorded")
+	}
 	stop()
 	for name, peak := range <-memory {
 		if s.plan.Plants(check.RuleMemory) {
