Check in the soak how often calls run and who still wants them

New rules ATTEMPTS (calls that run at more upstreams than their route allows) and GONE (calls that reach upstreams over half a second after their callers left), each with a unit test and a plant.

--- a/bench/soak/caller/caller.go
+++ b/bench/soak/caller/caller.go
@@ -176,6 +176,9 @@
 	time.Sleep(time.Duration(c.random.Int64N(int64(maxStay))))
 	c.drop()
 	a.call.Done, a.call.Outcome = time.Now(), record.Left
+	if c.opts.Plan.Plants(check.RuleGone) {
+		a.call.Done = a.call.Sent.Add(-site.AnswerSlack)
+	}
 	c.record(a)
 }
 
--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -16,22 +16,24 @@
 
 // Names of rules.
 const (
-	RuleTwice   = "TWICE"   // a call that may run once ran more often
-	RuleRefused = "REFUSED" // a call was refused as not run and ran
-	RuleBudget  = "BUDGET"  // a service got more repeats than allowed
-	RuleMixed   = "MIXED"   // an answer is not its upstream's whole answer to this call
-	RuleUnasked = "UNASKED" // an upstream ran what no caller sent, or something else
-	RuleOrder   = "ORDER"   // a stream is not whole, in order and of one software version
-	RuleLost    = "LOST"    // connections were closed without an answer though nothing was wrong
-	RuleLate    = "LATE"    // neither an answer nor a close in time
-	RuleDenied  = "DENIED"  // proper calls were refused as improper
-	RuleRecover = "RECOVER" // a daemon does not serve after the last fault
-	RuleMemory  = "MEMORY"  // a daemon holds more memory than its limit
+	RuleTwice    = "TWICE"    // a call that may run once ran more often
+	RuleRefused  = "REFUSED"  // a call was refused as not run and ran
+	RuleBudget   = "BUDGET"   // a service got more repeats than allowed
+	RuleMixed    = "MIXED"    // an answer is not its upstream's whole answer to this call
+	RuleUnasked  = "UNASKED"  // an upstream ran what no caller sent, or something else
+	RuleOrder    = "ORDER"    // a stream is not whole, in order and of one software version
+	RuleLost     = "LOST"     // connections were closed without an answer though nothing was wrong
+	RuleAttempts = "ATTEMPTS" // calls ran at more upstreams than their route allows
+	RuleGone     = "GONE"     // calls reached upstreams well after their callers had left
+	RuleLate     = "LATE"     // neither an answer nor a close in time
+	RuleDenied   = "DENIED"   // proper calls were refused as improper
+	RuleRecover  = "RECOVER"  // a daemon does not serve after the last fault
+	RuleMemory   = "MEMORY"   // a daemon holds more memory than its limit
 )
 
 // Rules lists the rules in the order of the report.
 var Rules = []string{
-	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleUnasked, RuleOrder, RuleLost, RuleLate, RuleDenied, RuleRecover, RuleMemory,
+	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleUnasked, RuleOrder, RuleLost, RuleAttempts, RuleGone, RuleLate, RuleDenied, RuleRecover, RuleMemory,
 }
 
 // Finding is a broken promise.
@@ -45,7 +47,7 @@
 func All(r *record.All) []Finding {
 	return slices.Concat(
 		Twice(r), Refused(r), Budget(r, site.RetryRatio, site.RetryExtra, site.RetryWindow),
-		Mixed(r), Unasked(r), Order(r), Lost(r), Late(r), Denied(r), Recover(r), Memory(r),
+		Mixed(r), Unasked(r), Order(r), Lost(r), Attempts(r), Gone(r), Late(r), Denied(r), Recover(r), Memory(r),
 	)
 }
 
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -100,6 +100,20 @@
 				call(r, i).Outcome, call(r, i).Status, call(r, i).Seal = record.Closed, 0, ""
 			}
 		}},
+		{"run at too many upstreams", RuleAttempts, func(r *record.All) {
+			for i := range attemptsFew + 1 {
+				call(r, i).Once = false
+				for range site.MaxAttempts {
+					r.Arrivals = append(r.Arrivals, r.Arrivals[i])
+				}
+			}
+		}},
+		{"sent after the caller had left", RuleGone, func(r *record.All) {
+			for i := range goneFew + 1 {
+				call(r, i).Outcome, call(r, i).Status, call(r, i).Seal = record.Left, 0, ""
+				r.Arrivals[i].At = call(r, i).Done.Add(goneSlack + time.Millisecond)
+			}
+		}},
 		{"answer too late", RuleLate, func(r *record.All) { call(r, 7).Done = call(r, 7).Sent.Add(time.Second + site.AnswerSlack + 1) }},
 		{"no answer at all", RuleLate, func(r *record.All) { call(r, 7).Outcome, call(r, 7).Status, call(r, 7).Seal = record.Late, 0, "" }},
 		{"proper calls refused", RuleDenied, func(r *record.All) {
--- a/bench/soak/report.go
+++ b/bench/soak/report.go
@@ -49,7 +49,7 @@
 		byRule[f.Rule] = append(byRule[f.Rule], f)
 	}
 	for _, rule := range check.Rules {
-		_, _ = fmt.Fprintf(out, "%-8s %d\n", rule, len(byRule[rule]))
+		_, _ = fmt.Fprintf(out, "%-9s %d\n", rule, len(byRule[rule]))
 		for _, f := range byRule[rule][:min(maxDetails, len(byRule[rule]))] {
 			_, _ = fmt.Fprintf(out, "    %s %s\n", f.At.Format("15:04:05.000"), f.Detail)
 		}
--- a/bench/soak/site/site.go
+++ b/bench/soak/site/site.go
@@ -79,8 +79,8 @@
 	Routes      = []Route{RouteOnce, RouteSafe, RouteStream, RouteTalk}
 )
 
-// maxAttempts is the number of upstreams to which one call may be sent.
-const maxAttempts = 2
+// MaxAttempts is the number of upstreams to which one call may be sent.
+const MaxAttempts = 2
 
 // Config returns a version of the operators' configuration. Each has another route that
 // no caller uses.
@@ -89,7 +89,7 @@
 	for _, r := range Routes {
 		c.Routes = append(c.Routes, names.Route{
 			Name: r.Name, Host: Host, Prefix: r.Prefix, Kind: r.Kind, Service: r.Service, TimeoutMS: int(r.Timeout.Milliseconds()),
-			LatencyMS: int(r.Timeout.Milliseconds()) / 4, MaxAttempts: maxAttempts, Prompted: r.Stream(), Resumable: r.Resumable,
+			LatencyMS: int(r.Timeout.Milliseconds()) / 4, MaxAttempts: MaxAttempts, Prompted: r.Stream(), Resumable: r.Resumable,
 		})
 	}
 	unused := c.Routes[0]
--- a/bench/soak/upstream/plant.go
+++ b/bench/soak/upstream/plant.go
@@ -30,6 +30,9 @@
 	if rule == check.RuleRefused { // all upstreams must refuse the attempt
 		return xxhash.Sum64String(r.Header.Get(names.AttemptID))%(1/plantedShare) == 0
 	}
+	if rule == check.RuleAttempts {
+		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix) && u.chance(plantedShare)
+	}
 	once := strings.HasPrefix(r.URL.Path, site.RouteOnce.Prefix)
 	return (once || rule == check.RuleOrder) && u.chance(plantedShare)
 }
@@ -39,6 +42,11 @@
 	if u.plants(check.RuleTwice, r) {
 		u.record(a)
 	}
+	if u.plants(check.RuleAttempts, r) {
+		for range site.MaxAttempts {
+			u.record(a)
+		}
+	}
 	if u.plants(check.RuleBudget, r) {
 		a.Ran, a.Seal = false, ""
 		for range plantedRepeats {
