Accept the responses of plain services that name no request

A response with another id is rejected as before. One without an id is taken for that of its request where the API does not ask for it, but states nothing: 'not run' counts only beside the request's own id.

--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -52,7 +52,7 @@
 	if r.Weights != "" {
 		req.Header.Set(HeaderExpectWeights, r.Weights)
 	}
-	res, err := send(e.transport, req, r.ID)
+	res, err := send(e.transport, req, r.ID, named)
 	if err != nil {
 		return nil, err
 	}
@@ -83,7 +83,7 @@
 		return nil, &SendError{Err: err}
 	}
 	req.Header.Set(headerLastEvent, strconv.FormatUint(after, 10))
-	res, err := send(e.transport, req, id)
+	res, err := send(e.transport, req, id, named)
 	if err != nil {
 		return nil, err
 	}
@@ -100,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := send(e.transport, req, id)
+	res, err := send(e.transport, req, id, maybeUnnamed)
 	if err != nil {
 		return err
 	}
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	res, err := send(e.transport, req, rand.Text())
+	res, err := send(e.transport, req, rand.Text(), maybeUnnamed)
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -50,5 +50,5 @@
 	if !r.Repeatable {
 		transport = s.once
 	}
-	return send(transport, req, r.ID)
+	return send(transport, req, r.ID, maybeUnnamed)
 }
