--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(CURDIR)/.bin
 PROTOS := $(shell find internal -name '*.proto')
 
-.PHONY: build check format gopls lint test proto demo fleet soak soak-processes soak-known bench bench-quick slopes
+.PHONY: build check format gopls lint test proto demo fleet histories soak soak-long soak-known bench bench-quick slopes
 
 build:
 	go build -o bin/ ./cmd/... ./internal/fake/cmd/standins
@@ -50,7 +50,7 @@
 check: format lint test
 
 # Runs the randomised tests with the full number of histories, one line per package.
-soak:
+histories:
 	CURRANTPULLEY_HISTORIES=10000 go test -count=1 -timeout 20m -run 'TestAtMostOnce|TestCheckerFindsPlantedBugs' -v ./internal/control/calls
 	CURRANTPULLEY_HISTORIES=10000 go test -count=1 -timeout 20m -run 'TestOrders' -v ./internal/control/orders
 	CURRANTPULLEY_HISTORIES=10000 go test -count=1 -timeout 20m -run 'TestHistories|TestRefereeFindsPlantedFaults' -v ./internal/control/publish
@@ -58,10 +58,17 @@
 # Runs daemons, store, upstreams and callers as processes under the faults of a seed.
 SEED := 1
 
-soak-processes:
+soak:
 	go run ./bench/soak --seed $(SEED)
 
-# Runs the seeds of soak-processes that once had findings.
+# Runs SEEDS seeds from SEED on, one after the other, and stops at the first finding.
+SEEDS := 50
+
+soak-long: build
+	go build -o bin/soak ./bench/soak
+	for n in $$(seq $(SEED) $$(($(SEED) + $(SEEDS) - 1))); do bin/soak --seed $$n --binary bin/currantpulleyd || exit 1; done
+
+# Runs the seeds of soak that once had findings.
 soak-known:
 	go run ./bench/soak known
 
