Keep the length that an upstream states in a response to HEAD

Callers of HEAD got Content-Length 0, the size of the body that such a response doesn't have, in place of the upstream's.

TestHeadResponseKeepsItsLength failed before ('0' for '77' and for none).

--- a/internal/gateway/promises_test.go
+++ b/internal/gateway/promises_test.go
@@ -246,3 +246,28 @@
 		t.Errorf("status %d after %v, want 502 at once", status, took)
 	}
 }
+
+// Guards against a HEAD response whose length is not that of the upstream's.
+func TestHeadResponseKeepsItsLength(t *testing.T) {
+	for _, tc := range []struct{ line, want string }{{"Content-Length: 77\r\n", "77"}, {"", ""}} {
+		u := newRawUpstream(t, func(w io.Writer, r *http.Request, _ int) bool {
+			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 x\r\nId: %s\r\nSigned: yes\r\n%s\r\n", r.Header.Get("Id"), tc.line)
+			return true
+		})
+		f := startRaw(t, u)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodHead, "http://"+f.address+"/idempotent/", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Id", "call")
+		req.Header.Set("Key", "k")
+		res, err := http.DefaultTransport.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		if got := res.Header.Get("Content-Length"); got != tc.want || res.StatusCode != http.StatusOK {
+			t.Errorf("status %d, length %q, want 200, %q", res.StatusCode, got, tc.want)
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -64,13 +64,19 @@
 }
 
 // writeHead sends the status line and the header fields to the caller. If the
-// response is complete, length is the size of its body.
+// response is complete, length is the size of its body. The response to HEAD keeps
+// the length that the upstream stated.
 func (g *Gateway) writeHead(q *request, a *attempt, complete bool, length int) {
 	h := q.w.Header()
 	for name, values := range hop.EndToEnd(a.response.Header) {
 		h[name] = values
 	}
-	if complete {
+	switch {
+	case q.r.Method == http.MethodHead:
+		if stated := a.response.Header.Get("Content-Length"); stated != "" {
+			h.Set("Content-Length", stated)
+		}
+	case complete:
 		h.Set("Content-Length", strconv.Itoa(length))
 	}
 	q.headSent = true
