Keep one list of the statuses that promise 'not run'

The gateway, the own mode's dispatch and package refusal each had a list of their own; they are refusal.PromisesNotRun now.

--- a/internal/filter/dispatch/call.go
+++ b/internal/filter/dispatch/call.go
@@ -96,7 +96,7 @@
 		return nil, a, failure.At("call", choice.Upstream.Name, &upstream.StatusError{Status: response.Status, Message: "refused by the service"})
 	}
 	x.Sent = true
-	if !x.Route.Repeatable && impliesNotRun(response.Status) {
+	if !x.Route.Repeatable && refusal.PromisesNotRun(response.Status) {
 		response.Close()
 		return nil, a, failure.At("call", choice.Upstream.Name, &upstream.StatusError{Status: response.Status, Message: "the service may have run the call"})
 	}
@@ -118,7 +118,7 @@
 	}
 	h.Set(upstream.HeaderRequestID, x.VisibleID())
 	h.Del(upstream.HeaderEffect)
-	if impliesNotRun(response.Status) {
+	if refusal.PromisesNotRun(response.Status) {
 		h.Set(upstream.HeaderEffect, string(refusal.Unknown))
 	}
 	if len(head) < bufferedAnswerMax {
--- a/internal/filter/dispatch/dispatch.go
+++ b/internal/filter/dispatch/dispatch.go
@@ -147,18 +147,8 @@
 	x.Writer.WriteHeader(status)
 }
 
-// impliesNotRun reports whether callers take a status for the statement that their
-// request did not run. An upstream may respond with it after the request ran.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // passThrough reports whether an engine's answer with this status is relayed
 // unchanged, since another engine would give the same answer.
 func passThrough(status int) bool {
-	return status < http.StatusInternalServerError && status != http.StatusPreconditionFailed && !impliesNotRun(status)
+	return status < http.StatusInternalServerError && status != http.StatusPreconditionFailed && !refusal.PromisesNotRun(status)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -322,7 +322,7 @@
 		return &failedAttempt{notRun: true, refused: true, sent: true, err: fmt.Errorf("the upstream refused the request with status %d", status)}
 	}
 	q.runs++
-	if notRunStatuses[status] {
+	if refusal.PromisesNotRun(status) {
 		return &failedAttempt{sent: true, err: fmt.Errorf("%w: status %d without the statement that the request did not run", upstream.ErrMalformed, status)}
 	}
 	if status < http.StatusOK {
--- a/internal/gateway/refuse.go
+++ b/internal/gateway/refuse.go
@@ -9,24 +9,11 @@
 	"currantpulley/internal/refusal"
 )
 
-// notRunStatuses are the statuses that tell a caller that its request did not
-// run and never will. A request that may have run never gets one of them.
-var notRunStatuses = map[int]bool{
-	http.StatusRequestTimeout:     true,
-	http.StatusMisdirectedRequest: true,
-	http.StatusTooManyRequests:    true,
-	http.StatusServiceUnavailable: true,
-}
-
 // statusFor returns the HTTP status for r. A server error becomes 503 if the
-// request did not run. If the request may have run, none of notRunStatuses is
-// returned.
+// request did not run.
 func statusFor(r *refusal.Error) int {
 	status := r.Status()
-	switch {
-	case r.Effect == refusal.Unknown && notRunStatuses[status]:
-		return http.StatusBadGateway
-	case r.Effect == refusal.NotRun && status >= http.StatusInternalServerError:
+	if r.Effect == refusal.NotRun && status >= http.StatusInternalServerError {
 		return http.StatusServiceUnavailable
 	}
 	return status
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -79,6 +79,16 @@
 	OriginUnknown:      http.StatusServiceUnavailable,
 }
 
+// PromisesNotRun reports whether a status tells callers that their request did not run
+// and never will. A request that may have run never gets such a status.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Error is a refusal. Err is the cause. It is never shown to callers, since it may
 // contain names of peers.
 type Error struct {
@@ -129,17 +139,12 @@
 	if !ok {
 		return http.StatusInternalServerError
 	}
-	if e.Effect == Unknown && impliesNotRun[status] {
+	if e.Effect == Unknown && PromisesNotRun(status) {
 		return http.StatusBadGateway
 	}
 	return status
 }
 
-// impliesNotRun lists the statuses of codes that callers take for "not run".
-var impliesNotRun = map[int]bool{
-	http.StatusRequestTimeout: true, http.StatusTooManyRequests: true, http.StatusServiceUnavailable: true,
-}
-
 // Body is the JSON form of a refusal, in the error format of the OpenAI API.
 type Body struct {
 	Error BodyError `json:"error"`
