Measure in the soak how long programs waited for a processor

A finding about time may come from a full machine; the report has the kernel's figure and how late the soak itself woke up, as evidence. It excuses nothing.

--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -144,6 +144,15 @@
 		t.Errorf("daemon paused: %v", f)
 	}
 	r = soundRecords()
+	for i := range goneFew + 1 {
+		r.Calls[i].Outcome, r.Calls[i].Status, r.Calls[i].Seal = record.Left, 0, ""
+		r.Arrivals[i].At = r.Calls[i].Done.Add(time.Second)
+	}
+	r.Spans = []record.Span{{Kind: plan.PauseUpstream, From: at(50), To: at(900)}}
+	if f := All(r); len(f) > 0 {
+		t.Errorf("upstream paused while calls were under way: %v", f)
+	}
+	r = soundRecords()
 	r.Calls[7].Problem, r.Arrivals[7].Trouble = "the body has 5 bytes and is not whole", plan.NoLength
 	if len(All(r)) != 1 {
 		t.Error("an unframed answer that was not cut by a kill has no finding")
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -32,6 +32,8 @@
 	in      *installation
 	records *record.Log
 	log     zerolog.Logger
+
+	pressure pressure
 }
 
 // runSoak runs one seed and prints the report.
@@ -75,7 +77,7 @@
 	}
 	sampling, stop := context.WithCancel(ctx)
 	defer stop()
-	memory := s.sampleMemory(sampling)
+	memory, pressed := s.sampleMemory(sampling), measurePressure(sampling)
 	s.injectAll(ctx)
 	s.awaitRecovery(ctx)
 	s.in.callers.current().wait(settleTime)
@@ -83,6 +85,7 @@
 		return errors.New("the callers did not end, so their last calls are not recorded")
 	}
 	stop()
+	s.pressure = <-pressed
 	for name, peak := range <-memory {
 		if s.plan.Plants(check.RuleMemory) {
 			peak += site.MemoryMB
@@ -127,6 +130,7 @@
 	}
 	findings := check.All(all)
 	printReport(os.Stdout, s.plan.Seed, all, findings)
+	fmt.Printf("pressure: %v\n", s.pressure)
 	if len(findings) == 0 && !s.flags.keep {
 		return os.RemoveAll(s.plan.Dir)
 	}
