--- a/internal/fake/spoiled/spoiled.go
+++ b/internal/fake/spoiled/spoiled.go
@@ -1,9 +1,10 @@
-// Package spoiled is an HTTP peer for tests whose responses are spoiled: missing, cut,
-// without end, or of another protocol.
+// Package spoiled is an HTTP peer for tests that writes its responses byte by byte. They
+// may be spoiled: missing, cut, without end, or of another request or protocol.
 package spoiled
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -39,8 +40,8 @@
 	closed  chan struct{} // has an element if the client closed a connection
 }
 
-// Respond answers the request r, which has the given number on its connection, from 1
-// on. The connection is closed when it returns false.
+// Respond answers the request r, whose body was read from the connection and which has
+// the given number on it, from 1 on. The connection is closed when it returns false.
 type Respond func(w io.Writer, r *http.Request, number int) bool
 
 // NewPeer starts a peer, which stops at the end of the test.
@@ -74,7 +75,12 @@
 			p.noteClosed()
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			p.noteClosed()
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		p.Calls.Add(1)
 		if !respond(countingWriter{c, &p.written}, r, number) {
 			return
