--- a/Makefile
+++ b/Makefile
@@ -70,7 +70,7 @@
 
 # Runs the seeds of soak that once had findings.
 soak-known:
-	go run ./bench/soak known
+	grep -v '^#' bench/soak/seeds.txt | xargs -I{} sh -c 'go run ./bench/soak run {}'
 
 # Regenerates the committed gRPC code. Requires the Debian package protobuf-compiler.
 proto:
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -23,10 +23,9 @@
 	"currantpulley/bench/soak/upstream"
 )
 
-// Commands. Those after the first two are the processes that commandRun starts.
+// Commands. All but commandRun are the processes that it starts.
 const (
 	commandRun      = "run"
-	commandKnown    = "known"
 	commandStore    = "store"
 	commandUpstream = "upstream"
 	commandProxy    = "proxy"
@@ -69,7 +68,6 @@
 	app.Flag("binary", "Path of the daemon's binary; empty: it is built.").StringVar(&f.binary)
 	app.Flag("template", "Template of the daemons' settings.").Default("deploy/settings.toml").StringVar(&f.template)
 	run.Flag("keep", "Keep the records and logs also if no promise was broken.").BoolVar(&f.keep)
-	app.Command(commandKnown, "Run the seeds that once had findings.")
 	part := func(name, help string) *kingpin.CmdClause {
 		c := app.Command(name, help).Hidden()
 		c.Flag("plan", "File of the plan.").Required().StringVar(&f.plan)
@@ -112,11 +110,8 @@
 
 // start runs the command.
 func start(ctx context.Context, f *flags, log zerolog.Logger) error {
-	switch f.command {
-	case commandRun:
+	if f.command == commandRun {
 		return runSoak(ctx, f, log)
-	case commandKnown:
-		return runKnown(ctx, f)
 	}
 	p, err := plan.Load(f.plan)
 	if err != nil {
