Let the soak's engines answer reports as the protocol has them

Reports are believed only as application/json since today; the stand-in sent no content type, so engines of the soak had no report.

--- a/bench/soak/upstream/answer.go
+++ b/bench/soak/upstream/answer.go
@@ -23,6 +23,7 @@
 	notRun   bool
 	chunked  bool // the head only: the body follows in chunks
 	unframed bool // neither a length nor chunks
+	json     bool
 	body     string
 }
 
@@ -54,6 +55,9 @@
 	case !p.unframed:
 		line("Content-Length", fmt.Sprint(len(p.body)))
 	}
+	if p.json {
+		line("Content-Type", "application/json")
+	}
 	return b.String() + "\r\n"
 }
 
--- a/bench/soak/upstream/upstream.go
+++ b/bench/soak/upstream/upstream.go
@@ -214,7 +214,7 @@
 		report := names.Report{Models: []names.EngineModel{{Name: site.Model, Version: site.Weights}}, Running: u.running}
 		u.mu.Unlock()
 		data, err := json.Marshal(report)
-		return err == nil && u.write(c, r, response{status: http.StatusOK, body: string(data)}) == nil
+		return err == nil && u.write(c, r, response{status: http.StatusOK, json: true, body: string(data)}) == nil
 	case names.PathOrder:
 		return u.write(c, r, response{status: http.StatusOK}) == nil
 	}
