Start a daemon again in the soak that SIGHUP has ended

It was stopped at 42:05.9 and started again at about 42:08.1, in the moment of the SIGHUP of 42:08.13: it has no line of a start. A program that has not asked for SIGHUP yet is ended by it; the platform starts such a program again, the soak did not. It does now, at the fault's end.

Open: the daemon reads its settings before it asks for SIGHUP; asking first would make that moment shorter.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -80,6 +80,8 @@
 		s.check(s.in.daemons[f.Target].start())
 	case plan.ReloadDaemon:
 		s.in.daemons[f.Target].signal(syscall.SIGHUP)
+		sleepUntil(ctx, end)
+		s.check(s.in.daemons[f.Target].start()) // the signal ends a program that has just begun to start
 	case plan.KillUpstream:
 		s.killUpstream(ctx, f.Target, end)
 	case plan.DrainUpstream:
