Plant enough refusals for the soak's check of DENIED

Three in ten calls of the route are planted now instead of one in twenty. The check and its bound are the same.

--- a/bench/soak/upstream/plant.go
+++ b/bench/soak/upstream/plant.go
@@ -16,7 +16,8 @@
 // Shares and numbers of planted faults.
 const (
 	plantedShare   = 0.05
-	plantedRepeats = 20 // arrivals that are recorded for one
+	plantedDenied  = 0.3 // some refusals are allowed, so there must be many
+	plantedRepeats = 20  // arrivals that are recorded for one
 )
 
 // plants reports whether the upstream breaks a rule on purpose at this request.
@@ -34,6 +35,9 @@
 		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix) && u.chance(plantedShare)
 	}
 	once := strings.HasPrefix(r.URL.Path, site.RouteOnce.Prefix)
+	if rule == check.RuleDenied {
+		return once && u.chance(plantedDenied)
+	}
 	return (once || rule == check.RuleOrder) && u.chance(plantedShare)
 }
 
