--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"currantpulley/internal/balance"
@@ -34,6 +35,7 @@
 	response *upstream.Reply // nil: none came
 	head     Inbound
 	watch    *weightsWatch // nil: its weights are not watched
+	events   int           // whole events of a stream that were received
 }
 
 // failedAttempt is the error of an attempt without a usable response.
@@ -373,17 +375,32 @@
 }
 
 // evidence describes for the log what an attempt's response says about whose it is
-// and whether the request ran. It is empty if no response came.
+// and whether the request ran, how much of it came, and what the prompt holds.
 func (q *request) evidence(a *attempt) string {
 	if a.response == nil {
-		return ""
+		return fmt.Sprintf("route %s, no response, parts %s", q.route.Name, q.partIDs())
 	}
 	owner := "this request"
 	if a.head.ID != q.ID {
 		owner = fmt.Sprintf("%q", a.head.ID)
 	}
-	return fmt.Sprintf("route %s, status %d, response to %s, signed %t, states not run %t, connection reused %t",
-		q.route.Name, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused)
+	return fmt.Sprintf("route %s, status %d, response to %s, signed %t, states not run %t, connection reused %t, events %d, parts %s",
+		q.route.Name, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused, a.events, q.partIDs())
+}
+
+// maxLoggedParts is the number of parts of a prompt that a log line names.
+const maxLoggedParts = 8
+
+// partIDs returns the ids of the prompt's parts for the log.
+func (q *request) partIDs() string {
+	if q.Prompt == nil || len(q.Prompt.Parts) == 0 {
+		return "none"
+	}
+	var ids []string
+	for _, p := range q.Prompt.Parts[:min(maxLoggedParts, len(q.Prompt.Parts))] {
+		ids = append(ids, fmt.Sprintf("%.16s", p.ID))
+	}
+	return strings.Join(ids, " ")
 }
 
 // end reports the outcome of an attempt to the balancer and the metrics.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -42,6 +42,9 @@
 	}
 	if model := h.Get("Model"); model != "" {
 		c.Prompt = &balance.Prompt{Model: model, Tokens: 100}
+		for part := range strings.FieldsSeq(h.Get("Parts")) {
+			c.Prompt.Parts = append(c.Prompt.Parts, balance.Part{ID: part, Tokens: 10})
+		}
 	}
 	return c, nil
 }
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -81,3 +81,25 @@
 		t.Errorf("no %q in %s", want, scrape(t, f.metrics))
 	}
 }
+
+// The line of a failed attempt must tell the parts of the prompt and how many events
+// came, so that requests that an upstream was beginning to answer when it ended can be
+// compared.
+func TestFailedAttemptShowsItsPartsAndEvents(t *testing.T) {
+	for want, body := range map[string]string{
+		"events 0, parts template site own": "id: 1\nda",
+		"events 1, parts template site own": streamEvent1 + "id: 2",
+	} {
+		r := newReplica(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(body))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		f := start(t, r)
+		_, _, _ = f.post(t, "/stream/", "Model", "m", "Parts", "template site own") // is cut
+		_ = f.record.Close()
+		if !strings.Contains(f.logs.String(), want) {
+			t.Errorf("no %q in %s", want, f.logs)
+		}
+	}
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -207,6 +207,7 @@
 		if err != nil {
 			return err
 		}
+		a.events++
 		if err := a.watch.stop(); err != nil {
 			return err
 		}
