Hold back requests with a part of a prompt that crashes upstreams

Cause: nothing connected the crashes. A response that broke off before its first event counted as any failure of an upstream, so the request was repeated and ended a second engine, and the next request with the same part was sent by whichever daemon it reached. A bound over all daemons was kept by none.

Ruled out: that the load moving on ends the engines (bystanders had begun, or brought bytes of their first event, and were served elsewhere).

Change: internal/quarantine collects, per shared part, the upstreams that ended (their port refuses) before a response to a request with the part began; a response that begins disproves the evidence. Three crashes hold the part back at all daemons, two stop repeats. Evidence goes down the broadcast tree; states repeat what is quarantined for daemons that missed it.

--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -24,6 +24,7 @@
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/peer"
+	"currantpulley/internal/quarantine"
 )
 
 const (
@@ -83,6 +84,9 @@
 	OnProof func(position int64, at freshness.Instant)
 	// OnNotice applies another daemon's notice.
 	OnNotice func(n Notice)
+	// Suspect returns the evidence against a quarantined part of prompts, each time
+	// another one; nil or false: none.
+	Suspect func() (quarantine.Suspect, bool)
 }
 
 // Exchange runs the protocol. Its state is owned by the control goroutine.
@@ -210,6 +214,7 @@
 		s.Proof = &exchangepb.Proof{Position: position, AgeMs: uint32(age.Milliseconds()) + 1}
 	}
 	s.Notices = e.notices.repeated(now, repeatTime(len(e.opts.View().Live())))
+	s.Suspects = e.suspects()
 	return s
 }
 
@@ -244,4 +249,5 @@
 	for _, n := range s.GetNotices() {
 		e.applyNotice(s.GetVm(), s.GetIncarnation(), n, withState, now)
 	}
+	e.applySuspects(s.GetSuspects())
 }
--- a/internal/control/exchange/notices.go
+++ b/internal/control/exchange/notices.go
@@ -11,6 +11,7 @@
 	"currantpulley/internal/event"
 	"currantpulley/internal/failure"
 	"currantpulley/internal/fleet"
+	"currantpulley/internal/quarantine"
 )
 
 const (
@@ -32,14 +33,25 @@
 }
 
 // Notice announces that an engine is about to load weights or has loaded them,
-// that an upstream departs, or the state of a store of cache entries.
+// that an upstream departs, the state of a store of cache entries, or evidence against
+// a part of prompts.
 type Notice struct {
 	Upstream uint32        // short id of the upstream or store
 	Closed   bool          // the upstream gets no new work
 	TTL      time.Duration // for which a closed upstream stays closed without another notice
 	Model    string
-	Weights  uint64 // version that is served; 0: unknown
-	Token    uint64 // fencing token of the ordering daemon, or the epoch of a store
+	Weights  uint64              // version that is served; 0: unknown
+	Token    uint64              // fencing token of the ordering daemon, or the epoch of a store
+	Suspect  *quarantine.Suspect // not nil: the evidence, and no other field is set
+}
+
+// subject returns what the notice is about. A later notice of the same subject replaces
+// the earlier one. Short ids of upstreams have 32 bits, parts have 64.
+func (n *Notice) subject() uint64 {
+	if n.Suspect != nil {
+		return uint64(n.Suspect.Part)
+	}
+	return uint64(n.Upstream)
 }
 
 // announced is a notice of this daemon and the time at which it was announced.
@@ -53,14 +65,22 @@
 func (a announced) message(now time.Time) *exchangepb.Notice {
 	return &exchangepb.Notice{
 		Upstream: a.Upstream, Closed: a.Closed, Milliseconds: uint32(max(0, a.TTL-now.Sub(a.at)).Milliseconds()),
-		Model: a.Model, Weights: a.Weights, Token: a.Token, Number: a.number,
+		Model: a.Model, Weights: a.Weights, Token: a.Token, Number: a.number, Suspect: a.suspect(now),
+	}
+}
+
+// suspect returns the evidence as it is sent at now; nil: the notice has none.
+func (a announced) suspect(now time.Time) *exchangepb.Suspect {
+	if a.Suspect == nil {
+		return nil
 	}
+	return encodeSuspect(a.Suspect.Older(now.Sub(a.at)))
 }
 
-// noticeSource is a daemon that sends notices about an upstream or a store.
+// noticeSource is a daemon that sends notices about a subject; see Notice.subject.
 type noticeSource struct {
-	origin   string
-	upstream uint32
+	origin  string
+	subject uint64
 }
 
 // noticeID orders the notices of one source.
@@ -79,7 +99,7 @@
 // notices holds this daemon's own notices and what it knows of those of others.
 // It is owned by the control goroutine.
 type notices struct {
-	own      map[uint32]announced // by short id of the upstream or store
+	own      map[uint64]announced // by Notice.subject
 	last     uint64               // number of the newest own notice
 	sent     uint64               // number of the newest own notice that was sent
 	batching bool                 // a batch will be sent within noticeBatchTime
@@ -88,13 +108,13 @@
 }
 
 func newNotices() notices {
-	return notices{own: make(map[uint32]announced), received: make(map[noticeSource]noticeID)}
+	return notices{own: make(map[uint64]announced), received: make(map[noticeSource]noticeID)}
 }
 
 // add adds an own notice.
 func (ns *notices) add(n Notice, now time.Time) {
 	ns.last++
-	ns.own[n.Upstream] = announced{n, ns.last, now}
+	ns.own[n.subject()] = announced{n, ns.last, now}
 }
 
 // batch returns the own notices that were not sent yet.
@@ -138,7 +158,8 @@
 	if n.GetNumber() == 0 {
 		return true, level < withState
 	}
-	source := noticeSource{origin, n.GetUpstream()}
+	decoded := decodeNotice(n)
+	source := noticeSource{origin, decoded.subject()}
 	known := ns.received[source]
 	apply = known.before(incarnation, n.GetNumber())
 	if apply {
@@ -237,10 +258,22 @@
 func (e *Exchange) applyNotice(origin string, incarnation uint64, n *exchangepb.Notice, level int, now time.Time) (forward bool) {
 	apply, forward := e.notices.record(origin, incarnation, n, level, now)
 	if apply {
-		e.opts.OnNotice(Notice{
-			Upstream: n.GetUpstream(), Closed: n.GetClosed(), TTL: time.Duration(n.GetMilliseconds()) * time.Millisecond,
-			Model: n.GetModel(), Weights: n.GetWeights(), Token: n.GetToken(),
-		})
+		e.opts.OnNotice(decodeNotice(n))
 	}
 	return forward
 }
+
+// decodeNotice returns the notice in a message.
+func decodeNotice(n *exchangepb.Notice) Notice {
+	if s := n.GetSuspect(); s != nil {
+		suspect := decodeSuspect(s)
+		return Notice{Suspect: &suspect}
+	}
+	return Notice{
+		Upstream: n.GetUpstream(), Closed: n.GetClosed(), TTL: milliseconds(n.GetMilliseconds()),
+		Model: n.GetModel(), Weights: n.GetWeights(), Token: n.GetToken(),
+	}
+}
+
+// milliseconds returns the duration of n milliseconds.
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -20,6 +20,7 @@
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/peer"
+	"currantpulley/internal/quarantine"
 	"currantpulley/internal/settings"
 )
 
@@ -36,6 +37,7 @@
 	exchange   *exchange.Exchange
 	origins    *origins.Origins
 	lag        freshness.Lag
+	quarantine *quarantine.Table
 	departures departures
 	onOrder    atomic.Pointer[func(k catalog.Key, token uint64, open bool)]
 }
@@ -70,6 +72,7 @@
 	if p.server, err = peer.Listen(s.PeerListen, nil); err != nil {
 		return nil, err
 	}
+	p.quarantine = p.newQuarantine(ctx)
 	p.membership = membership.New(membership.Options{
 		Loop: p.loop, Pool: p.pool, List: o.List, Recorder: r,
 		Self:   fleet.VM{Name: s.VM, PeerAddress: s.PeerListen, DataCentre: s.DataCentre, Site: s.Site},
@@ -79,7 +82,7 @@
 		Loop: p.loop, Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r,
 		Collect: p.ownUse, Apply: p.applyUse, ComputedPrefixes: p.computedPrefixes, OnComputedPrefixes: p.onComputedPrefixes,
 		Announcements: p.announcements, OnAnnouncement: p.onAnnouncement, OnNotice: p.handleNotice,
-		Proof: p.proof, OnProof: p.onProof,
+		Proof: p.proof, OnProof: p.onProof, Suspect: p.suspect,
 	})
 	p.origins = origins.New(origins.Options{
 		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof, Store: o.Builds,
--- a/internal/event/decision.go
+++ b/internal/event/decision.go
@@ -10,6 +10,10 @@
 	LimitReached        ID = 3006
 	NoUpstreamForWork   ID = 3007
 	BranchesNotSent     ID = 3008
+	UpstreamCrashed     ID = 3009
+	PartSuspected       ID = 3010
+	PartQuarantined     ID = 3011
+	PartReleased        ID = 3012
 )
 
 var decisionEvents = []Definition{
@@ -21,4 +25,8 @@
 	{LimitReached, "limit_reached", Info, "A request was refused because its workspace is over its limit."},
 	{NoUpstreamForWork, "no_upstream_for_work", Warn, "A request was refused because no upstream may serve it."},
 	{BranchesNotSent, "branches_not_told", Info, "The positions at which prompts diverge could not be pushed to another daemon; it finds them itself or gets them with its next pull."},
+	{UpstreamCrashed, "upstream_crashed", Warn, "An upstream ended before the response to this request began; detail has the parts of the prompt that other requests may share."},
+	{PartSuspected, "part_suspected", Info, "Requests with a part of a prompt may crash upstreams; they are not repeated any more."},
+	{PartQuarantined, "part_quarantined", Warn, "Requests with a part of a prompt crash upstreams; all of them are held back."},
+	{PartReleased, "part_released", Info, "A response to a request with a suspected or quarantined part began; such requests are served again."},
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -36,6 +36,7 @@
 	head     Inbound
 	watch    *weightsWatch // nil: its weights are not watched
 	events   int           // whole events of a stream that were received
+	sentAt   time.Time     // see freshness.Time
 }
 
 // failedAttempt is the error of an attempt without a usable response.
@@ -130,6 +131,9 @@
 // response. Its error is a *failedAttempt when the request was sent or could
 // not be sent, and a refusal when none was tried.
 func (g *Gateway) try(q *request, o Outbound) (*attempt, error) {
+	if err := g.checkParts(q); err != nil {
+		return nil, err
+	}
 	q.snap = g.opts.Watcher.Load()
 	now := freshness.Time()
 	work := &balance.Work{Service: q.service.Name, Group: q.cacheGroup(), Resumable: q.resumable(), Tried: q.tried, Build: q.build}
@@ -145,7 +149,7 @@
 		return nil, refusal.New(refusal.Overloaded, "the engines have more work than they can do in time").WithRetryAfter(after).
 			WithCause(fmt.Errorf("%v of work ahead at %s, the least of all, objective %v", pick.Ahead, pick.Upstream.ID, q.route.Objective))
 	}
-	a := &attempt{pick: pick}
+	a := &attempt{pick: pick, sentAt: now}
 	q.tried = append(q.tried, pick.Upstream.Key())
 	if err := g.recheckKey(q); err != nil {
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
@@ -367,6 +371,9 @@
 	if q.ctx.Err() != nil || a.watch.stop() != nil {
 		outcome = balance.Cancelled
 	}
+	if outcome == balance.Failed {
+		g.recordCrash(q, a, err)
+	}
 	g.end(a, outcome)
 	g.opts.Recorder.Record(event.Event{
 		ID: event.AttemptFailed, Request: q.ID, Upstream: a.pick.Upstream.ID,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,12 +12,14 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/singleflight"
 
 	"currantpulley/internal/balance"
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/event"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/metrics"
+	"currantpulley/internal/quarantine"
 	"currantpulley/internal/refusal"
 	"currantpulley/internal/rendezvous"
 	"currantpulley/internal/retry"
@@ -32,10 +34,11 @@
 	Transport   http.RoundTripper
 	Retries     *retry.Windows
 	Recorder    event.Recorder
-	Metrics     *metrics.Gateway // nil: metrics are discarded
-	Proof       *freshness.Proof // when the configuration was last proved to be the newest
-	MaxProofAge time.Duration    // maximum age of Proof at which keys are accepted
-	Origins     Origins          // nil: callers resume streams at any build
+	Metrics     *metrics.Gateway  // nil: metrics are discarded
+	Proof       *freshness.Proof  // when the configuration was last proved to be the newest
+	MaxProofAge time.Duration     // maximum age of Proof at which keys are accepted
+	Origins     Origins           // nil: callers resume streams at any build
+	Quarantine  *quarantine.Table // parts of prompts that crash upstreams; nil: shared with no other daemon
 	// StaleWeightsCut is the time after the announcement of a newer weights version
 	// from which a request that still waits in an engine with older weights is taken
 	// back; 0: never.
@@ -45,9 +48,10 @@
 // Gateway is the HTTP handler for callers' requests. It must be served by a
 // server.Server.
 type Gateway struct {
-	opts     Options
-	draining atomic.Bool
-	stopped  atomic.Bool
+	opts        Options
+	draining    atomic.Bool
+	stopped     atomic.Bool
+	endedChecks singleflight.Group // of upstreams, by id
 }
 
 // New returns a Gateway with the given options.
@@ -55,6 +59,9 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewGateway(prometheus.NewRegistry())
 	}
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.New(quarantine.Options{})
+	}
 	return &Gateway{opts: o}
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -39,6 +39,9 @@
 		return f
 	}
 	g.opts.Balancer.Began(a.pick, freshness.Time())
+	if a.response.StatusCode == http.StatusOK {
+		g.recordBegan(q)
+	}
 	q.recordWrite()
 	complete := len(head) < maxBufferedBytes
 	g.writeHead(q, a, complete, len(head))
@@ -229,6 +232,7 @@
 // streamBegan records that a's first event is about to be relayed.
 func (g *Gateway) streamBegan(q *request, a *attempt) {
 	g.opts.Balancer.Began(a.pick, freshness.Time())
+	g.recordBegan(q)
 	q.software, q.build = a.pick.Upstream.Software, a.pick.Upstream.Build()
 	g.recordOrigin(q)
 	if !q.resumesStream() {
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -52,6 +52,8 @@
 	LeaseHeld func() bool               // whether this daemon holds the lease for orders to engines
 	Peers     func() int                // number of live daemons, this one included
 	Budget    func() map[string]float64 // number of retries that the budget allows now, by service
+
+	Quarantined func() int // number of parts of prompts whose requests are held back
 }
 
 // Register registers the metrics of the daemon's state in r.
@@ -69,6 +71,7 @@
 		TokensWaiting:        d.summary(func(s balance.Summary) int { return s.Tokens }),
 		UpstreamsBehind:      func() float64 { return float64(d.behind().upstreams) },
 		OldestWeightsBehind:  func() float64 { return d.behind().oldest.Seconds() },
+		QuarantinedParts:     func() float64 { return float64(d.Quarantined()) },
 		LogLinesDropped:      func() float64 { return float64(d.Logs.writer.Dropped()) },
 		LogEventsSuppressed:  func() float64 { return float64(d.Logs.sampler.Suppressed()) },
 	}.Register(r)
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -50,6 +50,7 @@
 	LogUnavailable     Code = "log_unavailable"
 	OutcomeUnknown     Code = "outcome_unknown"
 	OriginUnknown      Code = "origin_unknown"
+	Quarantined        Code = "quarantined"
 )
 
 var statusByCode = map[Code]int{
@@ -77,6 +78,7 @@
 	LogUnavailable:     http.StatusServiceUnavailable,
 	OutcomeUnknown:     http.StatusBadGateway,
 	OriginUnknown:      http.StatusServiceUnavailable,
+	Quarantined:        http.StatusServiceUnavailable,
 }
 
 // PromisesNotRun reports whether a status tells callers that their request did not run
