Log the limit that an upstream states

Served and failed attempts (2001, 2004) now tell the limit that the response stated. Nothing acts on the limit yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -392,7 +392,15 @@
 		owner = fmt.Sprintf("%q", a.head.ID)
 	}
 	return fmt.Sprintf("route %s, status %d, response to %s, signed %t, states not run %t, connection reused %t, events %d, parts %s",
-		q.route.Name, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused, a.events, q.partIDs())
+		q.route.Name, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused, a.events, q.partIDs()) + a.statedLimit()
+}
+
+// statedLimit describes for the log the limit that the response's head states, if any.
+func (a *attempt) statedLimit() string {
+	if a.head.Limit == nil {
+		return ""
+	}
+	return fmt.Sprintf(", limit %g/s", *a.head.Limit)
 }
 
 // maxLoggedParts is the number of parts of a prompt that a log line names.
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -45,6 +45,7 @@
 	NotRun  bool          // the upstream states that the request did not run
 	Version uint64        // weights version; 0: not given
 	Load    *balance.Load // nil: not given
+	Limit   *float64      // requests a second that the upstream takes from all daemons together; nil: any number
 }
 
 // Dialect reads and writes the headers exchanged with callers and upstreams.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -58,7 +58,11 @@
 }
 
 func (dialect) Inbound(_ int, h http.Header) gateway.Inbound {
-	return gateway.Inbound{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	in := gateway.Inbound{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		in.Limit = &limit
+	}
+	return in
 }
 
 // replica is an upstream with a handler set by the test.
