Keep the requests of all daemons within an upstream's stated limit

Cause: nothing read the limit. Ruled out: that the sum of daemons that keep to it is too much, or that repeats are what exceeds it (the rate did not change at all). The next fault behind it was plain: 13 daemons that each keep to the limit send 13 times as much, and a 13th of it is one request in 11 s.

Change: internal/ratelimit. Daemons tell each other the newest statement of an upstream. Each has a share as a bucket where that allows bursts of a request, from retry.Share like the retry budget; else daemons take turns in slots of the time of day, by rendezvous hashing. The balancer asks right before each pick, so first sends, repeats and resumptions all count.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -13,6 +13,7 @@
 
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/placement/holders"
+	"currantpulley/internal/ratelimit"
 	"currantpulley/internal/rendezvous"
 )
 
@@ -72,7 +73,8 @@
 // their weights and the prompt parts that they hold. It is safe for concurrent
 // use.
 type Balancer struct {
-	opts Options
+	opts   Options
+	limits *ratelimit.Table // that upstreams state
 
 	mu           sync.Mutex
 	upstreams    map[catalog.Key]*upstreamState
@@ -103,11 +105,15 @@
 // New returns a Balancer without any upstream state.
 func New(opts Options) *Balancer {
 	return &Balancer{
-		opts: opts, upstreams: make(map[catalog.Key]*upstreamState), lanes: make(map[string]lane), stores: make(map[uint32]storeState),
+		opts: opts, limits: ratelimit.New(ratelimit.Options{}), upstreams: make(map[catalog.Key]*upstreamState), lanes: make(map[string]lane), stores: make(map[uint32]storeState),
 		held: holders.New(heldMax), pending: holders.New(pendingMax),
 	}
 }
 
+// UseLimits replaces the limits that upstreams state by t, which all daemons share. It
+// must be called before any other method.
+func (b *Balancer) UseLimits(t *ratelimit.Table) { b.limits = t }
+
 // Pick chooses an upstream for w and counts the request as running there until
 // Done. It returns nil when no upstream may take the request.
 func (b *Balancer) Pick(snap *catalog.Snapshot, w *Work, now time.Time) *Pick {
@@ -127,18 +133,20 @@
 		best.state.own.NotResumable++
 	}
 	best.state.usedAt = now
+	b.limits.Take(best.Upstream.ShortID(), now)
 	return best
 }
 
 // choose returns the candidate with the lowest score, or nil. An upstream that
-// is closed or in backoff is chosen only when all are.
+// is closed or in backoff is chosen only when all are, one whose limit is used up
+// never.
 func (b *Balancer) choose(snap *catalog.Snapshot, w *Work, now time.Time) *Pick {
 	var best *Pick
 	var bestScore time.Duration
 	all := snap.UpstreamsOf(w.Service)
 	aff := b.affinity(snap, all, w, now)
 	for _, u := range all {
-		if w.excludes(u) || w.wasTried(u.Key()) {
+		if w.excludes(u) || w.wasTried(u.Key()) || !b.limits.Available(u.ShortID(), now) {
 			continue
 		}
 		c, score := b.scoreUpstream(snap, w, u, aff, now)
@@ -177,7 +185,7 @@
 	var most uint64
 	for _, u := range all {
 		s := b.stateOf(u.Key(), now)
-		if w.excludes(u) || s.unavailableFor(now) > 0 || a.short[u.ID] == w.Prompt.long() {
+		if w.excludes(u) || s.unavailableFor(now) > 0 || !b.limits.Available(u.ShortID(), now) || a.short[u.ID] == w.Prompt.long() {
 			continue
 		}
 		if weight := rendezvous.Weight(rendezvous.Hash(u.ID), key); a.owner == nil || weight > most {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -266,3 +266,33 @@
 		t.Errorf("picked %s for a build without upstreams", p.Upstream.ID)
 	}
 }
+
+// An upstream whose limit is used up must get no request, also if there is no other;
+// what it may take is sent to it again.
+func TestStatedLimit(t *testing.T) {
+	b, w := newTest(2)
+	snap := w.Load()
+	rate := 1.0
+	for _, u := range snap.UpstreamsOf(testService) {
+		b.RecordLimit(u, &rate, testNow, testNow)
+	}
+	if p := b.Pick(snap, shortWork("s"), testNow); p != nil {
+		t.Errorf("a request goes to %s, whose limit leaves none", p.Upstream.ID)
+	}
+	later := testNow.Add(time.Second)
+	sent := make(map[string]int)
+	for range 5 {
+		if p := b.Pick(snap, shortWork("s"), later); p != nil {
+			sent[p.Upstream.ID]++
+		}
+	}
+	if sent["e00"] != 1 || sent["e01"] != 1 {
+		t.Errorf("after a second requests go to %v, want one to each", sent)
+	}
+	b.RecordLimit(snap.Upstreams["e00"], nil, later, later)
+	for range 5 {
+		if p := b.Pick(snap, shortWork("s"), later); p == nil || p.Upstream.ID != "e00" {
+			t.Errorf("a request goes to %+v, want e00, which states no limit any more", p)
+		}
+	}
+}
--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -105,6 +105,16 @@
 	s.weights[model] = max(s.weights[model], version)
 }
 
+// RecordLimit records what an upstream's answer, which came now to a request that was
+// sent at sentAt, states of the requests a second that the upstream takes from all
+// daemons; nil: it states no limit.
+func (b *Balancer) RecordLimit(u *catalog.Upstream, rate *float64, sentAt, now time.Time) {
+	b.limits.Observe(u.ShortID(), rate, sentAt, now)
+}
+
+// Limited returns the number of upstreams that state a limit.
+func (b *Balancer) Limited() int { return b.limits.Limited() }
+
 // Version returns the weights version that u is known to serve; 0: unknown.
 func (b *Balancer) Version(u *catalog.Upstream, model string, now time.Time) uint64 {
 	b.mu.Lock()
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -25,6 +25,7 @@
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/peer"
 	"currantpulley/internal/quarantine"
+	"currantpulley/internal/ratelimit"
 )
 
 const (
@@ -87,6 +88,9 @@
 	// Suspect returns the evidence against a quarantined part of prompts, each time
 	// another one; nil or false: none.
 	Suspect func() (quarantine.Suspect, bool)
+	// Limit returns the limit that an upstream states, each time of another one; nil or
+	// false: none.
+	Limit func() (ratelimit.Statement, bool)
 }
 
 // Exchange runs the protocol. Its state is owned by the control goroutine.
@@ -215,6 +219,7 @@
 	}
 	s.Notices = e.notices.repeated(now, repeatTime(len(e.opts.View().Live())))
 	s.Suspects = e.suspects()
+	s.Limits = e.limits()
 	return s
 }
 
@@ -250,4 +255,5 @@
 		e.applyNotice(s.GetVm(), s.GetIncarnation(), n, withState, now)
 	}
 	e.applySuspects(s.GetSuspects())
+	e.applyLimits(s.GetLimits())
 }
--- a/internal/control/exchange/notices.go
+++ b/internal/control/exchange/notices.go
@@ -12,6 +12,7 @@
 	"currantpulley/internal/failure"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/quarantine"
+	"currantpulley/internal/ratelimit"
 )
 
 const (
@@ -33,27 +34,34 @@
 }
 
 // Notice announces that an engine is about to load weights or has loaded them,
-// that an upstream departs, the state of a store of cache entries, or evidence against
-// a part of prompts.
+// that an upstream departs, the state of a store of cache entries, evidence against a
+// part of prompts, or an upstream's limit.
 type Notice struct {
 	Upstream uint32        // short id of the upstream or store
 	Closed   bool          // the upstream gets no new work
 	TTL      time.Duration // for which a closed upstream stays closed without another notice
 	Model    string
-	Weights  uint64              // version that is served; 0: unknown
-	Token    uint64              // fencing token of the ordering daemon, or the epoch of a store
-	Suspect  *quarantine.Suspect // not nil: the evidence, and no other field is set
+	Weights  uint64               // version that is served; 0: unknown
+	Token    uint64               // fencing token of the ordering daemon, or the epoch of a store
+	Suspect  *quarantine.Suspect  // not nil: the evidence, and no other field is set
+	Limit    *ratelimit.Statement // not nil: the limit, and no other field is set
 }
 
 // subject returns what the notice is about. A later notice of the same subject replaces
 // the earlier one. Short ids of upstreams have 32 bits, parts have 64.
 func (n *Notice) subject() uint64 {
-	if n.Suspect != nil {
+	switch {
+	case n.Suspect != nil:
 		return uint64(n.Suspect.Part)
+	case n.Limit != nil:
+		return limitSubject | uint64(n.Limit.Upstream)
 	}
 	return uint64(n.Upstream)
 }
 
+// limitSubject distinguishes notices about an upstream's limit from others about it.
+const limitSubject = 1 << 32
+
 // announced is a notice of this daemon and the time at which it was announced.
 type announced struct {
 	Notice
@@ -65,7 +73,7 @@
 func (a announced) message(now time.Time) *exchangepb.Notice {
 	return &exchangepb.Notice{
 		Upstream: a.Upstream, Closed: a.Closed, Milliseconds: uint32(max(0, a.TTL-now.Sub(a.at)).Milliseconds()),
-		Model: a.Model, Weights: a.Weights, Token: a.Token, Number: a.number, Suspect: a.suspect(now),
+		Model: a.Model, Weights: a.Weights, Token: a.Token, Number: a.number, Suspect: a.suspect(now), Limit: a.limit(now),
 	}
 }
 
@@ -269,6 +277,10 @@
 		suspect := decodeSuspect(s)
 		return Notice{Suspect: &suspect}
 	}
+	if l := n.GetLimit(); l != nil {
+		limit := decodeLimit(l)
+		return Notice{Limit: &limit}
+	}
 	return Notice{
 		Upstream: n.GetUpstream(), Closed: n.GetClosed(), TTL: milliseconds(n.GetMilliseconds()),
 		Model: n.GetModel(), Weights: n.GetWeights(), Token: n.GetToken(),
--- a/internal/control/peers/notices.go
+++ b/internal/control/peers/notices.go
@@ -14,9 +14,13 @@
 // handleNotice applies a notice of another daemon. It calls the function set by
 // OnOrder if the notice comes from an order.
 func (p *Peers) handleNotice(n exchange.Notice) {
-	if n.Suspect != nil {
+	switch {
+	case n.Suspect != nil:
 		p.quarantine.Merge(*n.Suspect, freshness.Time())
 		return
+	case n.Limit != nil:
+		p.limits.Merge(*n.Limit, freshness.Time())
+		return
 	}
 	if n.Closed && n.Token == 0 {
 		p.departures.record(n.Upstream, time.Now())
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -21,6 +21,7 @@
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/peer"
 	"currantpulley/internal/quarantine"
+	"currantpulley/internal/ratelimit"
 	"currantpulley/internal/settings"
 )
 
@@ -38,6 +39,7 @@
 	origins    *origins.Origins
 	lag        freshness.Lag
 	quarantine *quarantine.Table
+	limits     *ratelimit.Table
 	departures departures
 	onOrder    atomic.Pointer[func(k catalog.Key, token uint64, open bool)]
 }
@@ -55,6 +57,9 @@
 	Recorder      event.Recorder
 	// Departures delivers the upstreams that this daemon has read to be leaving.
 	Departures <-chan catalog.Key
+	// Part returns this daemon's part of an allowance that all daemons share, from 0 to
+	// 1. The parts of all daemons add up to 1 at most.
+	Part func() float64
 	// OnBehind makes this daemon restart its pending read of the configuration's
 	// log.
 	OnBehind func()
@@ -72,7 +77,7 @@
 	if p.server, err = peer.Listen(s.PeerListen, nil); err != nil {
 		return nil, err
 	}
-	p.quarantine = p.newQuarantine(ctx)
+	p.quarantine, p.limits = p.newQuarantine(ctx), p.newLimits(ctx)
 	p.membership = membership.New(membership.Options{
 		Loop: p.loop, Pool: p.pool, List: o.List, Recorder: r,
 		Self:   fleet.VM{Name: s.VM, PeerAddress: s.PeerListen, DataCentre: s.DataCentre, Site: s.Site},
@@ -82,7 +87,7 @@
 		Loop: p.loop, Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r,
 		Collect: p.ownUse, Apply: p.applyUse, ComputedPrefixes: p.computedPrefixes, OnComputedPrefixes: p.onComputedPrefixes,
 		Announcements: p.announcements, OnAnnouncement: p.onAnnouncement, OnNotice: p.handleNotice,
-		Proof: p.proof, OnProof: p.onProof, Suspect: p.suspect,
+		Proof: p.proof, OnProof: p.onProof, Suspect: p.suspect, Limit: p.limit,
 	})
 	p.origins = origins.New(origins.Options{
 		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof, Store: o.Builds,
--- a/internal/control/peers/quarantine.go
+++ b/internal/control/peers/quarantine.go
@@ -7,7 +7,6 @@
 
 	"currantpulley/internal/control/exchange"
 	"currantpulley/internal/event"
-	"currantpulley/internal/fleet"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/quarantine"
 )
@@ -29,9 +28,7 @@
 // mayTry reports whether this daemon may let a request with a quarantined part through
 // in the numbered slot: in each slot one daemon may.
 func (p *Peers) mayTry(part quarantine.Part, slot int64) bool {
-	key := strconv.FormatUint(uint64(part), 16) + "/" + strconv.FormatInt(slot, 10)
-	first := fleet.Owners(p.View().Live(), key, 1)
-	return len(first) == 1 && first[0].Name == p.opts.Settings.VM
+	return p.ownsFirst(strconv.FormatUint(uint64(part), 16) + "/" + strconv.FormatInt(slot, 10))
 }
 
 // suspect returns the evidence against a quarantined part for the exchange.
--- a/internal/event/decision.go
+++ b/internal/event/decision.go
@@ -14,6 +14,8 @@
 	PartSuspected       ID = 3010
 	PartQuarantined     ID = 3011
 	PartReleased        ID = 3012
+	UpstreamLimited     ID = 3013
+	UpstreamUnlimited   ID = 3014
 )
 
 var decisionEvents = []Definition{
@@ -29,4 +31,6 @@
 	{PartSuspected, "part_suspected", Info, "Requests with a part of a prompt may crash upstreams; they are not repeated any more."},
 	{PartQuarantined, "part_quarantined", Warn, "Requests with a part of a prompt crash upstreams; all of them are held back."},
 	{PartReleased, "part_released", Info, "A response to a request with a suspected or quarantined part began; such requests are served again."},
+	{UpstreamLimited, "upstream_limited", Info, "An upstream began to state a limit on the requests that it takes from all daemons together; detail has it."},
+	{UpstreamUnlimited, "upstream_unlimited", Info, "An upstream no longer states a limit."},
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -142,7 +142,8 @@
 	}
 	pick := g.opts.Balancer.Pick(q.snap, work, now)
 	if pick == nil {
-		return nil, refusal.New(refusal.NoUpstream, "no upstream of the service can take the request").WithRetryAfter(busyRetryAfter)
+		return nil, refusal.New(refusal.NoUpstream, "no upstream of the service can take the request").WithRetryAfter(busyRetryAfter).
+			WithCause(fmt.Errorf("%d upstreams state a limit on requests", g.opts.Balancer.Limited()))
 	}
 	if after, refused := pick.Overloaded(q.route.Objective, q.isCallerRetry()); refused && q.mayShed() {
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
@@ -358,6 +359,9 @@
 	if a.head.Version != 0 && q.Prompt != nil {
 		g.opts.Balancer.RecordVersion(key, q.Prompt.Model, a.head.Version, now)
 	}
+	if a.response.StatusCode != http.StatusMisdirectedRequest { // which another upstream at the address sends
+		g.opts.Balancer.RecordLimit(a.pick.Upstream, a.head.Limit, a.sentAt, now)
+	}
 }
 
 // fail reports the outcome of a failed attempt to the balancer and records an
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -21,6 +21,7 @@
 	UpstreamsBehind      func() float64            // upstreams whose weights are older than the target
 	OldestWeightsBehind  func() float64            // seconds since weights newer than the oldest ones in use were announced; 0: none are
 	QuarantinedParts     func() float64            // parts of prompts whose requests are held back
+	UpstreamsLimited     func() float64            // upstreams that state a limit on requests
 	LogLinesDropped      func() float64            // lines dropped because the log's reader was too slow
 	LogEventsSuppressed  func() float64            // events not logged because of sampling
 }
@@ -43,6 +44,7 @@
 		{"upstream_waiting_tokens", "Tokens of prompts that wait for their first token in engines, of all daemons.", s.TokensWaiting},
 		{"upstreams_behind", "Upstreams whose weights are older than the target.", s.UpstreamsBehind},
 		{"weights_oldest_behind_seconds", "Time since weights newer than the oldest ones in use were announced; 0 if none are.", s.OldestWeightsBehind},
+		{"upstreams_limited", "Upstreams that state a limit on the requests of all daemons together.", s.UpstreamsLimited},
 		{"quarantined_parts", "Parts of prompts that crash upstreams; requests with one are held back.", s.QuarantinedParts},
 	} {
 		f.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: g.name, Help: g.help}, g.value)
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -72,6 +72,7 @@
 		UpstreamsBehind:      func() float64 { return float64(d.behind().upstreams) },
 		OldestWeightsBehind:  func() float64 { return d.behind().oldest.Seconds() },
 		QuarantinedParts:     func() float64 { return float64(d.Quarantined()) },
+		UpstreamsLimited:     func() float64 { return float64(d.Balancer.Limited()) },
 		LogLinesDropped:      func() float64 { return float64(d.Logs.writer.Dropped()) },
 		LogEventsSuppressed:  func() float64 { return float64(d.Logs.sampler.Suppressed()) },
 	}.Register(r)
--- /dev/null
+++ b/internal/ratelimit/ratelimit.go
@@ -0,0 +1,69 @@
+// Package ratelimit keeps the requests that all daemons together send to an upstream
+// within the limit that the upstream states, without a call per request.
+//
+// Daemons tell each other the newest statement of each upstream. Where the limit allows
+// it, each daemon has a share of it that it may use at any time. Where a share is less
+// than one request in the time in which requests are counted, daemons take turns: time
+// is divided into slots of one request, and each slot belongs to one daemon.
+//
+// The package does no I/O. Callers pass the time, always from freshness.Time.
+package ratelimit
+
+import "time"
+
+const (
+	// minRate is the rate in requests a second up to which a lower limit is exceeded:
+	// only an answer can tell that the limit was raised.
+	minRate = 0.1
+	// slackRequests and slackShare bound how many requests may come at once beyond the
+	// limit: so many, and such a share of what the limit allows in slackSpan.
+	slackRequests = 2.5
+	slackShare    = 0.25
+	slackSpan     = 4.0 // seconds
+	// announceDrop is the share of the known limit below which a lower one is announced,
+	// at most once in announceMin. Other changes reach daemons with Share.
+	announceDrop = 0.9
+	announceMin  = 500 * time.Millisecond
+	// withdrawnShared is the time for which daemons tell each other that a limit was
+	// withdrawn.
+	withdrawnShared = time.Minute
+	// maxUpstreams bounds the memory. It is larger than the number of upstreams.
+	maxUpstreams = 4096
+)
+
+// Statement is what an upstream has said about its limit, as daemons pass it on.
+type Statement struct {
+	Upstream uint32        // short id of the upstream's key
+	Limited  bool          // false: it no longer states a limit
+	Rate     float64       // requests a second from all daemons together
+	Age      time.Duration // since the answer came
+}
+
+// Older returns s as it is when d more has passed.
+func (s Statement) Older(d time.Duration) Statement {
+	s.Age += d
+	return s
+}
+
+// allowance is how a daemon may use its part of a limit.
+type allowance struct {
+	rate  float64 // requests a second of this daemon
+	burst float64 // requests that may come at once; 0: the daemon takes turns
+}
+
+// allow returns the allowance of a daemon that has the given part, from 0 to 1, of a
+// limit. Parts of all daemons are used at once at worst: then their bursts come on top
+// of the limit. So each has a share of the slack for its burst, which must be at least
+// one request.
+func allow(limit, part float64) allowance {
+	burst := part * (slackRequests + slackShare*slackSpan*limit)
+	if burst < 1 {
+		return allowance{}
+	}
+	return allowance{rate: part * limit, burst: burst}
+}
+
+// slotOf returns the number of the slot of time that at lies in.
+func slotOf(at time.Time, rate float64) int64 {
+	return int64(float64(at.UnixMicro()) * rate / float64(time.Second/time.Microsecond))
+}
