Order the statements of limits by version

A rate that another daemon told was rounded to a float32, so that daemons numbered slots differently and took each other's turns.

Rates are whole numbers of requests in 1,000 s now, and statements carry a version that grows with each change.

--- a/internal/control/exchange/limits.go
+++ b/internal/control/exchange/limits.go
@@ -1,20 +1,10 @@
 package exchange
 
 import (
-	"time"
-
 	"currantpulley/internal/control/exchange/exchangepb"
 	"currantpulley/internal/ratelimit"
 )
 
-// limit returns the upstream's limit as it is sent at now; nil: the notice has none.
-func (a announced) limit(now time.Time) *exchangepb.Limit {
-	if a.Limit == nil {
-		return nil
-	}
-	return encodeLimit(a.Limit.Older(now.Sub(a.at)))
-}
-
 // limits returns the limits that this daemon's next state carries, for daemons that
 // have missed a notice or know an older one.
 func (e *Exchange) limits() []*exchangepb.Limit {
@@ -38,12 +28,12 @@
 
 // encodeLimit returns the message of s.
 func encodeLimit(s ratelimit.Statement) *exchangepb.Limit {
-	return &exchangepb.Limit{Upstream: s.Upstream, Limited: s.Limited, Rate: float32(s.Rate), AgeMs: uint32(s.Age.Milliseconds())}
+	return &exchangepb.Limit{Upstream: s.Upstream, Limited: s.Limited, Rate: uint32(s.Rate), Version: s.Version}
 }
 
 // decodeLimit returns the limit in a message.
 func decodeLimit(message *exchangepb.Limit) ratelimit.Statement {
 	return ratelimit.Statement{
-		Upstream: message.GetUpstream(), Limited: message.GetLimited(), Rate: float64(message.GetRate()), Age: milliseconds(message.GetAgeMs()),
+		Upstream: message.GetUpstream(), Limited: message.GetLimited(), Rate: ratelimit.Rate(message.GetRate()), Version: message.GetVersion(),
 	}
 }
--- a/internal/control/exchange/limits_test.go
+++ b/internal/control/exchange/limits_test.go
@@ -11,10 +11,10 @@
 	"currantpulley/internal/ratelimit"
 )
 
-// A limit must reach other daemons with notices and states, with its age, beside a
+// A limit must reach other daemons with notices and states, beside a
 // notice that closes the same upstream.
 func TestLimitsAreCarried(t *testing.T) {
-	limit := ratelimit.Statement{Upstream: 7, Limited: true, Rate: 2.5, Age: time.Second}
+	limit := ratelimit.Statement{Upstream: 7, Limited: true, Rate: 2500, Version: 3}
 	var applied []Use
 	var received []Notice
 	from, to := testExchange(&applied, &received), testExchange(&applied, &received)
@@ -30,7 +30,7 @@
 			limits = append(limits, *n.Limit)
 		}
 	}
-	if want := []ratelimit.Statement{limit.Older(100 * time.Millisecond), limit}; len(received) != 3 || !reflect.DeepEqual(limits, want) {
+	if want := []ratelimit.Statement{limit, limit}; len(received) != 3 || !reflect.DeepEqual(limits, want) {
 		t.Errorf("received %d notices with limits %+v, want 3 with %+v", len(received), limits, want)
 	}
 }
@@ -40,7 +40,7 @@
 func BenchmarkLimit(b *testing.B) {
 	size := 0
 	for b.Loop() {
-		l := encodeLimit(ratelimit.Statement{Upstream: 1 << 30, Limited: true, Rate: 2.5, Age: 10 * time.Second})
+		l := encodeLimit(ratelimit.Statement{Upstream: 1 << 30, Limited: true, Rate: 2500, Version: 30})
 		size = proto.Size(&exchangepb.State{Limits: []*exchangepb.Limit{l}})
 	}
 	b.ReportMetric(float64(size), "B/state")
--- a/internal/control/exchange/notices.go
+++ b/internal/control/exchange/notices.go
@@ -71,9 +71,12 @@
 
 // message returns the notice as it is sent at now.
 func (a announced) message(now time.Time) *exchangepb.Notice {
+	if a.Limit != nil {
+		return &exchangepb.Notice{Number: a.number, Limit: encodeLimit(*a.Limit)}
+	}
 	return &exchangepb.Notice{
 		Upstream: a.Upstream, Closed: a.Closed, Milliseconds: uint32(max(0, a.TTL-now.Sub(a.at)).Milliseconds()),
-		Model: a.Model, Weights: a.Weights, Token: a.Token, Number: a.number, Suspect: a.suspect(now), Limit: a.limit(now),
+		Model: a.Model, Weights: a.Weights, Token: a.Token, Number: a.number, Suspect: a.suspect(now),
 	}
 }
 
--- a/internal/control/peers/limits.go
+++ b/internal/control/peers/limits.go
@@ -44,7 +44,7 @@
 
 // recordLimit records an event when an upstream begins or ceases to state a limit.
 func (p *Peers) recordLimit(s ratelimit.Statement) {
-	e := event.Event{ID: event.UpstreamLimited, Step: "limit", Detail: fmt.Sprintf("%g requests a second from all daemons", s.Rate)}
+	e := event.Event{ID: event.UpstreamLimited, Step: "limit", Detail: fmt.Sprintf("%g requests a second from all daemons", s.Rate.PerSecond())}
 	if !s.Limited {
 		e.ID, e.Detail = event.UpstreamUnlimited, ""
 	}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -9,12 +9,15 @@
 // The package does no I/O. Callers pass the time, always from freshness.Time.
 package ratelimit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
-	// minRate is the rate in requests a second up to which a lower limit is exceeded:
-	// only an answer can tell that the limit was raised.
-	minRate = 0.1
+	// minRate is the rate up to which a lower limit is exceeded, a request in ten
+	// seconds: only an answer can tell that the limit was raised.
+	minRate Rate = 100
 	// slackRequests and slackShare bound how many requests may come at once beyond the
 	// limit: so many, and such a share of what the limit allows in slackSpan.
 	slackRequests = 2.5
@@ -33,18 +36,36 @@
 
 // Statement is what an upstream has said about its limit, as daemons pass it on.
 type Statement struct {
-	Upstream uint32        // short id of the upstream's key
-	Limited  bool          // false: it no longer states a limit
-	Rate     float64       // requests a second from all daemons together
-	Age      time.Duration // since the answer came
+	Upstream uint32 // short id of the upstream's key
+	Version  uint64 // grows with each change that a daemon observes; of the same version the lower limit holds
+	Limited  bool   // false: it no longer states a limit
+	Rate     Rate   // from all daemons together
 }
 
-// Older returns s as it is when d more has passed.
-func (s Statement) Older(d time.Duration) Statement {
-	s.Age += d
-	return s
+// replaces reports whether s is to be believed rather than o.
+func (s Statement) replaces(o Statement) bool {
+	switch {
+	case s.Version != o.Version:
+		return s.Version > o.Version
+	case s.Limited != o.Limited:
+		return s.Limited
+	}
+	return s.Rate < o.Rate
 }
 
+// Rate is a number of requests in 1,000 seconds. All daemons must know exactly the same
+// rate to number slots alike.
+type Rate uint32
+
+// maxRate is the highest rate in requests a second; a higher limit is none in practice.
+const maxRate = 1e6
+
+// NewRate returns the rate nearest to a number of requests a second.
+func NewRate(perSecond float64) Rate { return Rate(math.Round(min(maxRate, perSecond) * 1000)) }
+
+// PerSecond returns the rate in requests a second.
+func (r Rate) PerSecond() float64 { return float64(r) / 1000 }
+
 // allowance is how a daemon may use its part of a limit.
 type allowance struct {
 	rate  float64 // requests a second of this daemon
@@ -55,15 +76,16 @@
 // limit. Parts of all daemons are used at once at worst: then their bursts come on top
 // of the limit. So each has a share of the slack for its burst, which must be at least
 // one request.
-func allow(limit, part float64) allowance {
-	burst := part * (slackRequests + slackShare*slackSpan*limit)
+func allow(limit Rate, part float64) allowance {
+	burst := part * (slackRequests + slackShare*slackSpan*limit.PerSecond())
 	if burst < 1 {
 		return allowance{}
 	}
-	return allowance{rate: part * limit, burst: burst}
+	return allowance{rate: part * limit.PerSecond(), burst: burst}
 }
 
+// slotLength returns the time of one request at a rate.
+func slotLength(r Rate) time.Duration { return 1000 * time.Second / time.Duration(r) }
+
 // slotOf returns the number of the slot of time that at lies in.
-func slotOf(at time.Time, rate float64) int64 {
-	return int64(float64(at.UnixMicro()) * rate / float64(time.Second/time.Microsecond))
-}
+func slotOf(at time.Time, r Rate) int64 { return at.UnixNano() / int64(slotLength(r)) }
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -20,10 +20,9 @@
 // raised or withdrawn only by what the upstream said later.
 func TestNewestStatementWins(t *testing.T) {
 	type answer struct {
-		rate         *float64
-		sent, came   float64
-		fromDaemon   bool // another daemon's statement, which was sent when the answer came
-		arrivedAfter float64
+		rate       *float64
+		sent, came float64
+		version    uint64 // of another daemon's statement; 0: the answer to a request of this daemon
 	}
 	for name, tc := range map[string]struct {
 		answers []answer
@@ -36,29 +35,30 @@
 		"withdrawn":                             {[]answer{{rate: rate(2), sent: 0, came: 1}, {sent: 2, came: 3}}, nil},
 		"answer of before, without a limit":     {[]answer{{rate: rate(2), sent: 0, came: 1}, {sent: 0.5, came: 3}}, rate(2)},
 		"answer of before, with a higher limit": {[]answer{{rate: rate(2), sent: 0, came: 1}, {rate: rate(3), sent: 0.5, came: 3}}, rate(2)},
-		"told by a daemon":                      {[]answer{{rate: rate(2), came: 1, fromDaemon: true}}, rate(2)},
-		"an older one told later":               {[]answer{{rate: rate(2), sent: 2, came: 3}, {rate: rate(5), came: 1, fromDaemon: true, arrivedAfter: 3}}, rate(2)},
-		"a newer one told":                      {[]answer{{rate: rate(2), sent: 0, came: 1}, {rate: rate(5), came: 2, fromDaemon: true, arrivedAfter: 1}}, rate(5)},
-		"withdrawn, as told":                    {[]answer{{rate: rate(2), sent: 0, came: 1}, {came: 2, fromDaemon: true}}, nil},
+		"told by a daemon":                      {[]answer{{rate: rate(2), came: 1, version: 1}}, rate(2)},
+		"an older one told later":               {[]answer{{rate: rate(5), came: 1, version: 6}, {rate: rate(2), sent: 2, came: 3}, {rate: rate(5), came: 4, version: 6}}, rate(2)},
+		"a newer one told":                      {[]answer{{rate: rate(2), sent: 0, came: 1}, {rate: rate(5), came: 2, version: 2}}, rate(5)},
+		"another one told of the same version":  {[]answer{{rate: rate(2), sent: 0, came: 1}, {rate: rate(5), came: 2, version: 1}}, rate(2)},
+		"a lower one told of the same version":  {[]answer{{rate: rate(2), sent: 0, came: 1}, {rate: rate(1), came: 2, version: 1}}, rate(1)},
+		"withdrawn, as told":                    {[]answer{{rate: rate(2), sent: 0, came: 1}, {came: 2, version: 2}}, nil},
+		"withdrawn, as told in an old version":  {[]answer{{rate: rate(2), came: 1, version: 3}, {came: 2, version: 3}}, rate(2)},
 		"stated again":                          {[]answer{{rate: rate(2), sent: 0, came: 1}, {sent: 2, came: 3}, {rate: rate(4), sent: 4, came: 5}}, rate(4)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := New(Options{})
 			for _, a := range tc.answers {
 				switch {
-				case !a.fromDaemon:
+				case a.version == 0:
 					table.Observe(upstream, a.rate, at(a.sent), at(a.came))
 				case a.rate == nil:
-					table.Merge(Statement{Upstream: upstream}, at(a.came+a.arrivedAfter))
+					table.Merge(Statement{Upstream: upstream, Version: a.version}, at(a.came))
 				default:
-					age := time.Duration(a.arrivedAfter * float64(time.Second))
-					table.Merge(Statement{Upstream: upstream, Limited: true, Rate: *a.rate, Age: age}, at(a.came+a.arrivedAfter))
+					table.Merge(Statement{Upstream: upstream, Version: a.version, Limited: true, Rate: NewRate(*a.rate)}, at(a.came))
 				}
 			}
-			l := table.limits[upstream]
-			limited := l != nil && l.limited
-			if limited != (tc.want != nil) || (limited && l.rate != *tc.want) || (table.Limited() == 1) != limited {
-				t.Errorf("known: %+v, want %v; %d upstreams limited", l, tc.want, table.Limited())
+			l := table.known(upstream)
+			if l.Limited != (tc.want != nil) || (l.Limited && l.Rate.PerSecond() != *tc.want) || (table.Limited() == 1) != l.Limited {
+				t.Errorf("known: %+v, want %v; %d upstreams limited", l.Statement, tc.want, table.Limited())
 			}
 		})
 	}
@@ -78,7 +78,7 @@
 	if announced < 2 || announced > 4 {
 		t.Errorf("%d announcements in two seconds, want 2 to 4", announced)
 	}
-	table.Merge(Statement{Upstream: upstream, Limited: true, Rate: 9}, at(3))
+	table.Merge(Statement{Upstream: upstream, Version: 1000, Limited: true, Rate: NewRate(9)}, at(3))
 	before := announced
 	if table.Observe(upstream, rate(4), at(3.1), at(3.1)); announced != before {
 		t.Error("announced right after another daemon did")
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -41,9 +41,8 @@
 
 // limit is what is known of one upstream's limit, and how much of it was used.
 type limit struct {
-	limited     bool
-	rate        float64
-	statedAt    time.Time // when the answer came
+	Statement
+	knownAt     time.Time // since when this daemon knows the statement
 	announcedAt time.Time // by any daemon
 	tokens      float64   // that this daemon may use, see allowance
 	filledAt    time.Time
@@ -68,24 +67,25 @@
 }
 
 // Observe records what an upstream's answer, which came now to a request that was sent
-// at sentAt, states: a rate, or nil for no limit. Answers may overtake each other, so a
-// limit is raised or withdrawn only by the answer to a request that was sent after the
-// limit was known.
-func (t *Table) Observe(upstream uint32, rate *float64, sentAt, now time.Time) {
-	if rate == nil && t.limited.Load() == 0 {
+// at sentAt, states: requests a second, or nil for no limit. Answers may overtake each
+// other, so a limit is raised or withdrawn only by the answer to a request that was sent
+// after the limit was known.
+func (t *Table) Observe(upstream uint32, perSecond *float64, sentAt, now time.Time) {
+	if perSecond == nil && t.limited.Load() == 0 {
 		return
 	}
-	s := Statement{Upstream: upstream, Limited: rate != nil}
-	if rate != nil {
-		s.Rate = *rate
+	s := Statement{Upstream: upstream, Limited: perSecond != nil, Version: 1}
+	if perSecond != nil {
+		s.Rate = NewRate(*perSecond)
 	}
 	t.mu.Lock()
-	l := t.limits[upstream]
-	if (l == nil && !s.Limited) || (l != nil && l.rises(s) && sentAt.Before(l.statedAt)) {
+	known := t.known(upstream)
+	if known.Limited == s.Limited && known.Rate == s.Rate || known.rises(s) && sentAt.Before(known.knownAt) {
 		t.mu.Unlock()
 		return
 	}
-	announce := l == nil || l.limited != s.Limited || (s.Rate < announceDrop*l.rate && now.Sub(l.announcedAt) >= announceMin)
+	s.Version = known.Version + 1
+	announce := known.Limited != s.Limited || float64(s.Rate) < announceDrop*float64(known.Rate) && now.Sub(known.announcedAt) >= announceMin
 	notify := t.set(s, now)
 	if announce {
 		t.limits[upstream].announcedAt = now
@@ -97,38 +97,45 @@
 	}
 }
 
-// Merge records another daemon's statement unless a newer one is known.
+// Merge records another daemon's statement unless it is older than the known one.
 func (t *Table) Merge(s Statement, now time.Time) {
-	at := now.Add(-s.Age)
 	t.mu.Lock()
-	if l := t.limits[s.Upstream]; l != nil && !at.After(l.statedAt) {
+	if !s.replaces(t.known(s.Upstream).Statement) {
 		t.mu.Unlock()
 		return
 	}
-	notify := t.set(s, at)
+	notify := t.set(s, now)
 	t.limits[s.Upstream].announcedAt = now
 	t.mu.Unlock()
 	notify()
 }
 
-// set records a statement of the time at. It returns a function that reports a change
-// and must be called without the lock.
-func (t *Table) set(s Statement, at time.Time) (notify func()) {
+// known returns what is known of an upstream's limit.
+func (t *Table) known(upstream uint32) limit {
+	if l := t.limits[upstream]; l != nil {
+		return *l
+	}
+	return limit{Statement: Statement{Upstream: upstream}}
+}
+
+// set records a statement. It returns a function that reports a change and must be
+// called without the lock.
+func (t *Table) set(s Statement, now time.Time) (notify func()) {
 	l := t.limits[s.Upstream]
 	if l == nil {
 		if len(t.limits) >= maxUpstreams {
 			t.forgetOldest()
 		}
-		l = &limit{filledAt: at}
+		l = &limit{}
 		t.limits[s.Upstream] = l
 		t.order = append(t.order, s.Upstream)
 	}
-	switched := l.limited != s.Limited
-	l.limited, l.rate, l.statedAt = s.Limited, s.Rate, at
+	switched := l.Limited != s.Limited
+	l.Statement, l.knownAt = s, now
 	if !switched {
 		return func() {}
 	}
-	l.tokens, l.filledAt = 0, at
+	l.tokens, l.filledAt = 0, now
 	if s.Limited {
 		t.limited.Add(1)
 	} else {
@@ -141,14 +148,14 @@
 	}
 }
 
-// forgetOldest drops the limit that was stated the longest time ago.
+// forgetOldest drops the limit that has been known for the longest time.
 func (t *Table) forgetOldest() {
-	t.forget(slices.MinFunc(t.order, func(a, b uint32) int { return t.limits[a].statedAt.Compare(t.limits[b].statedAt) }))
+	t.forget(slices.MinFunc(t.order, func(a, b uint32) int { return t.limits[a].knownAt.Compare(t.limits[b].knownAt) }))
 }
 
 // forget drops an upstream's limit.
 func (t *Table) forget(upstream uint32) {
-	if t.limits[upstream].limited {
+	if t.limits[upstream].Limited {
 		t.limited.Add(-1)
 	}
 	delete(t.limits, upstream)
@@ -156,7 +163,7 @@
 }
 
 // rises reports whether s allows more than is known.
-func (l *limit) rises(s Statement) bool { return l.limited && (!s.Limited || s.Rate > l.rate) }
+func (l limit) rises(s Statement) bool { return l.Limited && (!s.Limited || s.Rate > l.Rate) }
 
 // Limited returns the number of upstreams that state a limit.
 func (t *Table) Limited() int { return int(t.limited.Load()) }
@@ -171,16 +178,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.limits[upstream]
-	if l == nil || !l.limited {
+	if l == nil || !l.Limited {
 		return true
 	}
-	rate := max(minRate, l.rate)
+	rate := max(minRate, l.Rate)
 	own := allow(rate, t.opts.Part())
 	if own.burst > 0 {
 		l.fill(own, now)
 		return l.tokens >= 1
 	}
-	if now.Sub(l.takenAt).Seconds() < 1/rate {
+	if now.Sub(l.takenAt) < slotLength(rate) {
 		return false // also keeps a slot from being used twice
 	}
 	return t.opts.Turn(upstream, slotOf(t.opts.WallClock(), rate))
@@ -219,8 +226,8 @@
 			continue
 		}
 		t.next = (t.next + 1) % len(t.order)
-		if l := t.limits[u]; l.limited || now.Sub(l.statedAt) < withdrawnShared {
-			return Statement{Upstream: u, Limited: l.limited, Rate: l.rate, Age: max(0, now.Sub(l.statedAt))}, true
+		if l := t.limits[u]; l.Limited || now.Sub(l.knownAt) < withdrawnShared {
+			return l.Statement, true
 		}
 	}
 	return Statement{}, false
