Drop evidence against a part after ten minutes without requests

The design says so, and the code did it only when other evidence came: a part that nobody had asked for in an hour was still held back. It is dropped at the next request now, and no longer told to other daemons after five minutes, so that they don't keep each other's copies alive.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -36,6 +36,9 @@
 	// idleMax is the time without a crash or a request with the part after which the
 	// evidence is dropped.
 	idleMax = 10 * time.Minute
+	// sharedIdleMax is the same after which daemons cease to tell each other, so that it
+	// expires at all of them.
+	sharedIdleMax = idleMax / 2
 	// maxParts and maxCrashes bound the memory: callers choose the parts.
 	maxParts   = 256
 	maxCrashes = 16 // per part
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -297,3 +297,24 @@
 		t.Errorf("reported %v, want %v", got, want)
 	}
 }
+
+// A part that nobody asked for must be free at the next request, and must not be shared
+// any more, so that daemons don't keep telling each other.
+func TestEvidenceExpires(t *testing.T) {
+	var verdicts []Verdict
+	table := New(Options{OnVerdict: func(_ Part, v Verdict, _ int) { verdicts = append(verdicts, v) }})
+	apply(table, crashesOf(harmful, maxCrashes))
+	last := at(maxCrashes)
+	if _, ok := table.Share(last.Add(idleMax * 2 / 3)); ok {
+		t.Error("evidence that is about to expire is shared")
+	}
+	if table.Check([]Part{harmful}, false, last.Add(idleMax/2)) == nil {
+		t.Error("a request is let through too early")
+	}
+	if h := table.Check([]Part{harmful}, true, last.Add(idleMax/2+idleMax+time.Second)); h != nil {
+		t.Errorf("held back after %v without requests: %+v", idleMax, h)
+	}
+	if want := []Verdict{Suspected, Quarantined, Sound}; !slices.Equal(verdicts, want) {
+		t.Errorf("verdicts %v, want %v", verdicts, want)
+	}
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -97,10 +97,29 @@
 // repeat is a request that may have run before.
 func (t *Table) Check(parts []Part, repeat bool, now time.Time) *Hold {
 	t.mu.Lock()
-	defer t.mu.Unlock()
 	if len(t.verdicts) == 0 {
+		t.mu.Unlock()
 		return nil
 	}
+	notify := t.update(t.hasExpired(parts, now), now)
+	hold := t.hold(parts, repeat, now)
+	t.mu.Unlock()
+	notify()
+	return hold
+}
+
+// hasExpired reports whether the evidence against one of the parts is too old.
+func (t *Table) hasExpired(parts []Part, now time.Time) bool {
+	return slices.ContainsFunc(parts, func(p Part) bool { return t.records[p].isIdle(now, idleMax) })
+}
+
+// isIdle reports whether there was no crash and no request for longer than most.
+func (r *record) isIdle(now time.Time, most time.Duration) bool {
+	return r != nil && now.Sub(r.usedAt) > most
+}
+
+// hold returns the Hold of a request; see Check.
+func (t *Table) hold(parts []Part, repeat bool, now time.Time) *Hold {
 	var hold *Hold
 	for _, p := range parts {
 		v := t.verdicts[p]
@@ -139,7 +158,7 @@
 	defer t.mu.Unlock()
 	var first, next Part
 	for p, v := range t.verdicts {
-		if v != Quarantined {
+		if v != Quarantined || t.records[p].isIdle(now, sharedIdleMax) {
 			continue
 		}
 		if first == 0 || p < first {
@@ -206,8 +225,8 @@
 	if !changed {
 		return func() {}
 	}
-	maps.DeleteFunc(t.records, func(_ Part, r *record) bool { return now.Sub(r.usedAt) > idleMax })
 	old := t.verdicts
+	maps.DeleteFunc(t.records, func(_ Part, r *record) bool { return r.isIdle(now, idleMax) })
 	t.verdicts = judge(t.records)
 	type change struct {
 		part    Part
@@ -215,8 +234,13 @@
 		crashes int
 	}
 	var changes []change
-	for p := range t.records {
-		if v := t.verdicts[p]; v != old[p] {
+	for p := range old {
+		if t.verdicts[p] == Sound {
+			changes = append(changes, change{p, Sound, 0})
+		}
+	}
+	for p, v := range t.verdicts {
+		if v != old[p] {
 			n, _ := t.records[p].undisproved()
 			changes = append(changes, change{p, v, n})
 		}
