Determine a slot's owner once

The owner of a slot is chosen among all daemons, and the balancer asks for each upstream that states a limit twice a request.

--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -47,6 +47,8 @@
 	tokens      float64   // that this daemon may use, see allowance
 	filledAt    time.Time
 	takenAt     time.Time // latest Take
+	slot        int64     // latest slot for which hasSlot was determined
+	hasSlot     bool      // this daemon has it
 }
 
 // New returns a Table that knows no limit.
@@ -190,7 +192,10 @@
 	if now.Sub(l.takenAt) < slotLength(rate) {
 		return false // also keeps a slot from being used twice
 	}
-	return t.opts.Turn(upstream, slotOf(t.opts.WallClock(), rate))
+	if slot := slotOf(t.opts.WallClock(), rate); slot != l.slot {
+		l.slot, l.hasSlot = slot, t.opts.Turn(upstream, slot)
+	}
+	return l.hasSlot
 }
 
 // Take counts a request that is sent to an upstream.
