Play crashing parts and stated limits in the soak of real processes

Two kinds of faults and two rules. Engines end when they begin to answer a request with a part that callers send at any daemon, and are started again; upstreams state a limit. The proxy of an upstream that does not run refuses connections now, as the upstream's own port would.

Both rules have a plant.

--- a/bench/soak/caller/attempt.go
+++ b/bench/soak/caller/attempt.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/record"
 	"currantpulley/bench/soak/site"
 	"currantpulley/platform/standin/names"
@@ -63,7 +64,7 @@
 		q.events = minEvents + c.random.IntN(maxEvents-minEvents)
 		q.path = fmt.Sprint(route.Prefix, q.events)
 		q.header = []string{names.Model, site.Model, names.TokenUsage, fmt.Sprintf("%d,%d", promptToken, q.events),
-			names.PromptParts, fmt.Sprintf("%x:%d,%s:50", c.random.IntN(20), promptToken-50, q.id)}
+			names.PromptParts, c.promptParts(q.id)}
 	case route.Once():
 		q.method = onceMethods[c.random.IntN(len(onceMethods))]
 	default:
@@ -90,6 +91,23 @@
 	return q
 }
 
+// harmfulShare is the share of the streams that have the part which crashes engines,
+// while there is one.
+const harmfulShare = 0.01
+
+// promptParts returns the parts of the prompt of a request: one of a few, at times one
+// that crashes engines, and its own.
+func (c *caller) promptParts(id string) string {
+	shared := fmt.Sprintf("%x:%d", c.random.IntN(20), promptToken-100)
+	middle := fmt.Sprintf("%x:50", 100+c.random.IntN(100))
+	for _, f := range c.opts.Plan.Active(time.Now(), plan.Everywhere, func(k string) bool { return k == plan.CrashingPart }) {
+		if c.chance(harmfulShare) {
+			middle = f.PartID() + ":50"
+		}
+	}
+	return fmt.Sprintf("%s,%s,%s:50", shared, middle, id)
+}
+
 // headerValue returns the value of a further header, "" if it isn't sent.
 func (q *request) headerValue(name string) string {
 	for i := 0; i+1 < len(q.header); i += 2 {
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -123,6 +123,22 @@
 		}},
 		{"no success after the last fault", RuleRecover, func(r *record.All) { r.Recoveries[0].After = -1 }},
 		{"success too long after the last fault", RuleRecover, func(r *record.All) { r.Recoveries[0].After = site.Recovery + 1 }},
+		{"requests with a harmful part go on", RuleCrashes, func(r *record.All) {
+			for i := range crashesKnown + harmfulFew + 1 {
+				ms := i * 100
+				if i >= crashesKnown {
+					ms += 3500
+				}
+				r.Arrivals = append(r.Arrivals, record.Arrival{Attempt: fmt.Sprint("a", i), Service: site.Engine, At: at(ms), Part: "p"})
+			}
+		}},
+		{"more than a stated limit", RuleLimit, func(r *record.All) {
+			for i := range r.Arrivals[:200] {
+				r.Arrivals[i].Limit = 1
+			}
+			r.Arrivals = append(r.Arrivals, record.Arrival{Attempt: "a7", Upstream: "i-0-0", At: at(-4000), Limit: 1})
+			slices.SortFunc(r.Arrivals, func(a, b record.Arrival) int { return a.At.Compare(b.At) })
+		}},
 		{"too much memory", RuleMemory, func(r *record.All) { r.Memory[0].PeakMB = site.MemoryMB + 1 }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -9,6 +9,7 @@
 	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/record"
 	"currantpulley/bench/soak/site"
+	"currantpulley/bench/soak/upstream"
 	"currantpulley/platform/standin/names"
 )
 
@@ -133,3 +134,40 @@
 		time.Sleep(storePoll)
 	}
 }
+
+// Times of engines that end under a request.
+const (
+	crashPoll    = 20 * time.Millisecond
+	crashRestart = 1500 * time.Millisecond // from the end to the next start
+)
+
+// restartCrashed starts upstreams again that have ended under a request, until ctx
+// ends.
+func (s *soak) restartCrashed(ctx context.Context) {
+	var all sync.WaitGroup
+	for number := range s.in.upstreams {
+		all.Go(func() {
+			for sleepUntil(ctx, time.Now().Add(crashPoll)) {
+				if s.in.upstreams[number].current().endedWith(upstream.CrashStatus) {
+					s.restart(ctx, number)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+// restart records the end of an upstream and starts it again as a new instance.
+func (s *soak) restart(ctx context.Context, number int) {
+	old, ended := s.in.instance(number), time.Now()
+	s.record(record.Line{Span: &record.Span{
+		Kind: plan.CrashingPart, Target: s.plan.Proxies[number].To, From: ended.Add(-2 * crashPoll), To: ended.Add(crashRestart), Instance: old,
+	}})
+	sleepUntil(ctx, ended.Add(crashRestart))
+	s.check(s.in.startUpstream(number))
+	go func() {
+		if sleepUntil(ctx, ended.Add(site.EntryTimeout)) {
+			s.removeEntry(ctx, old)
+		}
+	}()
+}
--- a/bench/soak/plan/plan.go
+++ b/bench/soak/plan/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -71,6 +72,21 @@
 	Silent          = "silent-after-run" // no answer, the connection stays open
 )
 
+// Kinds of faults that last longer than others, since daemons have some time to react.
+const (
+	CrashingPart = "crashing-part" // engines end when they begin to answer a request with a part that callers send meanwhile
+	StatedLimit  = "stated-limit"  // an upstream states how many requests it takes
+)
+
+// PartID returns the id of the part of prompts that crashes engines during a fault.
+func (f Fault) PartID() string { return fmt.Sprintf("dead%x", f.From.Milliseconds()) }
+
+// Limit returns the limit in requests a second that an upstream states during a fault.
+func (f Fault) Limit() float64 { return limitPerShare * f.Share }
+
+// limitPerShare makes limits from 0.3 to 3 requests a second of shares.
+const limitPerShare = 6
+
 // Kinds of faults of processes.
 const (
 	PauseDaemon   = "pause-daemon"
@@ -108,11 +124,12 @@
 		Refusing, Silent,
 	}
 	processKinds = []string{PauseDaemon, KillDaemon, StopDaemon, PauseUpstream, KillUpstream, DrainUpstream, ReloadDaemon, ChangeConfig}
+	longKinds    = []string{CrashingPart, StatedLimit}
 	networkKinds = []string{NetDelay, NetReset, NetOneWay, NetSilent, StoreDown, StoreHang, StoreSlow, StoreLost, StoreRestored}
 )
 
 // Kinds returns all kinds of faults.
-func Kinds() []string { return slices.Concat(upstreamKinds, processKinds, networkKinds) }
+func Kinds() []string { return slices.Concat(upstreamKinds, processKinds, networkKinds, longKinds) }
 
 // IsUpstream reports whether upstreams carry out faults of a kind themselves.
 func IsUpstream(kind string) bool { return slices.Contains(upstreamKinds, kind) }
@@ -130,6 +147,9 @@
 	minLength = 700 * time.Millisecond
 	maxLength = 4 * time.Second
 	maxPause  = 500 * time.Millisecond
+
+	minLongLength = 7 * time.Second
+	maxLongLength = 12 * time.Second
 )
 
 // Draw draws the faults of the seed. The first comes at most maxCalm after the start.
@@ -145,6 +165,11 @@
 			p.drawSeries(r, kinds, daemons, upstreams, time.Duration(i)*minLength/2)
 		}
 	}
+	for _, kind := range longKinds { // last, so that a seed draws the other faults as it did without them
+		if len(only) == 0 || slices.Contains(only, kind) {
+			p.drawLong(r, kind, upstreams)
+		}
+	}
 	slices.SortFunc(p.Faults, func(a, b Fault) int { return int(a.From - b.From) })
 }
 
@@ -167,6 +192,19 @@
 	}
 }
 
+// drawLong draws faults of a kind that follow each other.
+func (p *Plan) drawLong(r *rand.Rand, kind string, upstreams int) {
+	for at := p.Calm; at+minLongLength < p.Duration; {
+		f := Fault{Kind: kind, From: at, Target: Everywhere, Share: 0.05 + 0.45*r.Float64()}
+		f.To = min(p.Duration, at+minLongLength+time.Duration(r.Int64N(int64(maxLongLength-minLongLength))))
+		if kind == StatedLimit {
+			f.Target = r.IntN(upstreams)
+		}
+		p.Faults = append(p.Faults, f)
+		at = f.To + time.Duration(r.Int64N(int64(maxPause)))
+	}
+}
+
 // Active returns the faults that are in force at t for a target and whose kind is
 // one of those that match accepts.
 func (p *Plan) Active(t time.Time, target int, match func(kind string) bool) []Fault {
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -89,6 +89,11 @@
 	}
 }
 
+// endedWith reports whether the run has ended with an exit status.
+func (r *run) endedWith(status int) bool {
+	return r != nil && !r.running() && r.cmd.ProcessState.ExitCode() == status
+}
+
 func (r *run) signal(s syscall.Signal) {
 	if r.running() {
 		_ = r.cmd.Process.Signal(s) // it may have ended just now
--- a/bench/soak/proxy/proxy.go
+++ b/bench/soak/proxy/proxy.go
@@ -21,28 +21,33 @@
 func Run(ctx context.Context, p *plan.Plan, log zerolog.Logger) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, one := range p.Proxies {
-		l, err := net.Listen("tcp", one.Listen)
-		if err != nil {
+		g := &gate{proxy: one}
+		if err := g.open(); err != nil {
 			return err
 		}
-		context.AfterFunc(ctx, func() { _ = l.Close() })
-		group.Go(func() error { return serve(ctx, p, one, l) })
+		context.AfterFunc(ctx, g.close)
+		group.Go(func() error { return serve(ctx, p, g) })
 	}
 	log.Info().Int("addresses", len(p.Proxies)).Msg("started")
 	return group.Wait()
 }
 
-func serve(ctx context.Context, p *plan.Plan, one plan.Proxy, l net.Listener) error {
-	for {
-		c, err := l.Accept()
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
+func serve(ctx context.Context, p *plan.Plan, g *gate) error {
+	for ctx.Err() == nil {
+		c, err := g.accept()
+		switch {
+		case err == nil:
+			go forward(p, g, c)
+		case ctx.Err() != nil:
+		case errors.Is(err, net.ErrClosed):
+			if err := g.reopen(ctx); err != nil {
+				return err
+			}
+		default:
 			return err
 		}
-		go forward(p, one, c)
 	}
+	return nil
 }
 
 const dialTimeout = time.Second
@@ -50,19 +55,21 @@
 // link is a forwarded connection.
 type link struct {
 	plan  *plan.Plan
+	gate  *gate
 	proxy plan.Proxy
 	luck  float64     // the link is affected by faults with a larger share
 	muted atomic.Bool // bytes to the daemon are lost for good
 }
 
 // forward copies the bytes of a connection both ways until one side ends.
-func forward(p *plan.Plan, one plan.Proxy, in net.Conn) {
-	out, err := net.DialTimeout("tcp", one.To, dialTimeout)
+func forward(p *plan.Plan, g *gate, in net.Conn) {
+	out, err := net.DialTimeout("tcp", g.proxy.To, dialTimeout)
 	if err != nil {
+		g.check()
 		reset(in)
 		return
 	}
-	l := &link{plan: p, proxy: one, luck: rand.Float64()} //nolint:gosec // random faults need no secure source
+	l := &link{plan: p, gate: g, proxy: g.proxy, luck: rand.Float64()} //nolint:gosec // random faults need no secure source
 	var both sync.WaitGroup
 	both.Go(func() { l.copy(out, in, false) })
 	both.Go(func() { l.copy(in, out, true) })
@@ -90,6 +97,9 @@
 			reset(from)
 			return
 		}
+		if err != nil && toDaemon {
+			l.gate.check()
+		}
 		if errors.Is(err, io.EOF) && !l.muted.Load() {
 			closeWrite(to)
 			return
--- a/bench/soak/record/record.go
+++ b/bench/soak/record/record.go
@@ -27,7 +27,9 @@
 	Seal     string    `json:"seal,omitempty"`
 	Trouble  string    `json:"trouble,omitempty"`
 	Method   string    `json:"method"`
-	Digest   string    `json:"digest"` // of the request, see Digest
+	Digest   string    `json:"digest"`          // of the request, see Digest
+	Part     string    `json:"part,omitempty"`  // of the prompt, under which the upstream ends
+	Limit    float64   `json:"limit,omitempty"` // requests a second that the upstream states, 0: none
 }
 
 // Outcome is how a call ended for its caller.
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -78,6 +78,7 @@
 	sampling, stop := context.WithCancel(ctx)
 	defer stop()
 	memory, pressed := s.sampleMemory(sampling), measurePressure(sampling)
+	go s.restartCrashed(sampling)
 	s.injectAll(ctx)
 	s.awaitRecovery(ctx)
 	s.in.callers.current().wait(settleTime)
--- a/bench/soak/upstream/answer.go
+++ b/bench/soak/upstream/answer.go
@@ -45,6 +45,9 @@
 	if p.notRun {
 		line(names.NotRun, "1")
 	}
+	if limit := u.statedLimit(); limit > 0 {
+		line(names.Limit, fmt.Sprintf("%.2f", limit))
+	}
 	if u.service == site.Engine {
 		line(names.WeightsVersion, fmt.Sprint(site.Weights))
 	}
--- a/bench/soak/upstream/plant.go
+++ b/bench/soak/upstream/plant.go
@@ -18,6 +18,8 @@
 	plantedShare   = 0.05
 	plantedDenied  = 0.3 // some refusals are allowed, so there must be many
 	plantedRepeats = 20  // arrivals that are recorded for one
+	plantedLimit   = 0.1 // requests a second
+	plantedPart    = "planted"
 )
 
 // plants reports whether the upstream breaks a rule on purpose at this request.
@@ -35,6 +37,9 @@
 		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix) && u.chance(plantedShare)
 	}
 	once := strings.HasPrefix(r.URL.Path, site.RouteOnce.Prefix)
+	if rule == check.RuleLimit || rule == check.RuleCrashes {
+		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix)
+	}
 	if rule == check.RuleDenied {
 		return once && u.chance(plantedDenied)
 	}
@@ -51,6 +56,16 @@
 			u.record(a)
 		}
 	}
+	if u.plants(check.RuleCrashes, r) {
+		a.Part = plantedPart
+	}
+	if u.plants(check.RuleLimit, r) {
+		a.Limit = plantedLimit
+	}
+	if a.Part != "" || a.Limit > 0 {
+		a.Ran, a.Seal = false, ""
+		u.record(a)
+	}
 	if u.plants(check.RuleBudget, r) {
 		a.Ran, a.Seal = false, ""
 		for range plantedRepeats {
--- a/bench/soak/upstream/upstream.go
+++ b/bench/soak/upstream/upstream.go
@@ -176,6 +176,7 @@
 	if expected != "" && expected != u.id || version != "" && version != strconv.Itoa(site.Weights) {
 		return u.refuse(c, r, a, http.StatusMisdirectedRequest)
 	}
+	a.Limit = u.statedLimit()
 	if u.plants(check.RuleRefused, r) {
 		a.Ran = true
 		return u.refuse(c, r, a, http.StatusServiceUnavailable)
@@ -231,6 +232,11 @@
 
 // run runs a request that has a slot and answers it, with a trouble if one is drawn.
 func (u *Upstream) run(c net.Conn, r *http.Request, a record.Arrival) bool {
+	if part := u.crashingPart(r); part != "" {
+		a.Trouble, a.Part = plan.CrashingPart, part
+		u.record(a)
+		u.crash(c, r, a)
+	}
 	a.Trouble = u.drawTrouble()
 	a.Seal = u.nextSeal()
 	a.Status = statusOf(a.Trouble)
