Resume streams that have begun whatever their parts are suspected of

A stream that has begun shows that its prompt has no part that crashes upstreams. While two crashes counted against a part that it shares, a broken stream was not resumed and ended incomplete. The new test failed before (one event and an early end instead of both events).

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -49,10 +49,11 @@
 	return parts
 }
 
-// checkParts returns a refusal if the prompt has a part that crashes upstreams.
+// checkParts returns a refusal if the prompt has a part that crashes upstreams. A
+// stream that has begun shows that it has none.
 func (g *Gateway) checkParts(q *request) error {
 	parts := q.quarantineParts()
-	if len(parts) == 0 {
+	if len(parts) == 0 || q.headSent {
 		return nil
 	}
 	hold := g.opts.Quarantine.Check(parts, q.runs > 0, freshness.Time())
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -6,6 +6,10 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"currantpulley/internal/freshness"
+	"currantpulley/internal/quarantine"
 )
 
 // withPart calls then for requests whose prompt has the part "harmful", before any
@@ -73,3 +77,31 @@
 		}
 	}
 }
+
+// A stream that has begun shows that its parts are sound. It must be resumed also if
+// they are suspected meanwhile.
+func TestBegunStreamIsResumedWhileItsPartIsSuspected(t *testing.T) {
+	table := quarantine.New(quarantine.Options{})
+	part := []quarantine.Part{quarantine.PartOf("s", "site")}
+	suspecting := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("After") != "" {
+			_, _ = w.Write([]byte(streamEvent2))
+			return
+		}
+		_, _ = w.Write([]byte(streamEvent1))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(50 * time.Millisecond) // for the event to arrive
+		for n := range uint32(2) {
+			at := freshness.Time().Add(time.Duration(n) * time.Second)
+			table.Crashed(n, part, at, at)
+		}
+		panic(http.ErrAbortHandler)
+	}
+	f := start(t, newReplica(t, suspecting), newReplica(t, suspecting))
+	f.quarantine = table
+	f.serve(t, f.logs)
+	_, body, err := f.post(t, "/resumable/", "Model", "m", "Parts", "template site own")
+	if err != nil || body != streamEvent1+streamEvent2 {
+		t.Errorf("%q, %v", body, err)
+	}
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"currantpulley/internal/gateway"
 	"currantpulley/internal/metrics"
 	"currantpulley/internal/observe"
+	"currantpulley/internal/quarantine"
 	"currantpulley/internal/retry"
 	"currantpulley/internal/server"
 	"currantpulley/internal/upstream"
@@ -95,6 +96,8 @@
 
 	staleWeightsCut time.Duration   // gateway.Options.StaleWeightsCut
 	origins         gateway.Origins // gateway.Options.Origins
+
+	quarantine *quarantine.Table // gateway.Options.Quarantine
 }
 
 // start runs a gateway in front of the replicas, with a route of each kind.
@@ -145,7 +148,7 @@
 		Metrics: metrics.NewGateway(f.metrics),
 		Dialect: dialect{}, Watcher: f.watcher, Balancer: balance.New(balance.Options{}),
 		Transport: upstream.NewTransport(), Recorder: f.record, Proof: f.proof, MaxProofAge: time.Minute,
-		StaleWeightsCut: f.staleWeightsCut, Origins: f.origins,
+		StaleWeightsCut: f.staleWeightsCut, Origins: f.origins, Quarantine: f.quarantine,
 		Retries: retry.NewWindows(retry.Options{
 			Clock: freshness.Time, Span: 10 * time.Second, Ratio: 0.2, Extra: 100, Part: func() float64 { return 1 }, Stale: func() bool { return false },
 		}),
