--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -142,8 +142,7 @@
 	}
 	pick := g.opts.Balancer.Pick(q.snap, work, now)
 	if pick == nil {
-		return nil, refusal.New(refusal.NoUpstream, "no upstream of the service can take the request").WithRetryAfter(busyRetryAfter).
-			WithCause(fmt.Errorf("%d upstreams state a limit on requests", g.opts.Balancer.Limited()))
+		return nil, g.noUpstream()
 	}
 	if after, refused := pick.Overloaded(q.route.Objective, q.isCallerRetry()); refused && q.mayShed() {
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
@@ -169,6 +168,15 @@
 	return nil, err
 }
 
+// noUpstream returns the refusal of a request that no upstream may get now.
+func (g *Gateway) noUpstream() *refusal.Error {
+	r := refusal.New(refusal.NoUpstream, "no upstream of the service can take the request").WithRetryAfter(busyRetryAfter)
+	if n := g.opts.Balancer.Limited(); n > 0 {
+		r = r.WithCause(fmt.Errorf("%d upstreams state a limit on requests", n))
+	}
+	return r
+}
+
 // countSend updates the metrics for a request that is about to be sent.
 func (g *Gateway) countSend(q *request, p *balance.Pick) {
 	m := g.opts.Metrics
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -35,8 +35,8 @@
 }
 
 // Crashed records that an upstream ended before the response to a request with the
-// parts began, which was sent at sentAt. The parts are in the order of the prompt, without the last one, which
-// belongs to the request alone.
+// parts began, which was sent at sentAt. The parts are in the order of the prompt,
+// without the last one, which belongs to the request alone.
 func (t *Table) Crashed(upstream uint32, parts []Part, sentAt, now time.Time) {
 	t.mu.Lock()
 	var changed []Suspect
