--- a/bench/soak/caller/attempt.go
+++ b/bench/soak/caller/attempt.go
@@ -93,7 +93,7 @@
 
 // harmfulShare is the share of the streams that have the part which crashes engines,
 // while there is one.
-const harmfulShare = 0.01
+const harmfulShare = 0.03
 
 // promptParts returns the parts of the prompt of a request: one of a few, at times one
 // that crashes engines, and its own.
--- a/bench/soak/upstream/plant.go
+++ b/bench/soak/upstream/plant.go
@@ -56,20 +56,25 @@
 			u.record(a)
 		}
 	}
+	u.recordPlantedBounds(a, r)
+	if u.plants(check.RuleBudget, r) {
+		a.Ran, a.Seal = false, ""
+		for range plantedRepeats {
+			u.record(a)
+		}
+	}
+}
+
+// recordPlantedBounds records arrivals that break the bounds over all daemons, if that
+// is planted.
+func (u *Upstream) recordPlantedBounds(a record.Arrival, r *http.Request) {
+	a.Ran, a.Seal = false, ""
 	if u.plants(check.RuleCrashes, r) {
 		a.Part = plantedPart
+		u.record(a)
 	}
 	if u.plants(check.RuleLimit, r) {
 		a.Limit = plantedLimit
-	}
-	if a.Part != "" || a.Limit > 0 {
-		a.Ran, a.Seal = false, ""
 		u.record(a)
 	}
-	if u.plants(check.RuleBudget, r) {
-		a.Ran, a.Seal = false, ""
-		for range plantedRepeats {
-			u.record(a)
-		}
-	}
 }
