Keep the limit of an upstream that is missing for a moment

Entries of upstreams lapse in an outage of the store and come back; a daemon dropped the limit at the next state that it sent, and would have sent more until an answer told it again. Limits are dropped after 30 s now.

--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -30,6 +30,9 @@
 	// withdrawnShared is the time for which daemons tell each other that a limit was
 	// withdrawn.
 	withdrawnShared = time.Minute
+	// goneMax is the time for which an upstream must be missing until its limit is
+	// dropped. Entries that lapse in an outage of the registry are back sooner.
+	goneMax = 30 * time.Second
 	// maxUpstreams bounds the memory. It is larger than the number of upstreams.
 	maxUpstreams = 4096
 )
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -18,7 +18,8 @@
 	// WallClock returns the time of day, by which all daemons number slots. Nil:
 	// time.Now.
 	WallClock func() time.Time
-	// Known reports whether an upstream still exists. The limits of others are dropped.
+	// Known reports whether an upstream exists. The limits of others are dropped after
+	// some time.
 	// Nil: all exist.
 	Known func(upstream uint32) bool
 	// Announce passes on a change of a limit to all other daemons. Nil: not called.
@@ -49,6 +50,7 @@
 	takenAt     time.Time // latest Take
 	slot        int64     // latest slot for which hasSlot was determined
 	hasSlot     bool      // this daemon has it
+	goneSince   time.Time // since when the upstream is missing; zero: it exists
 }
 
 // New returns a Table that knows no limit.
@@ -226,14 +228,26 @@
 	defer t.mu.Unlock()
 	for range len(t.order) {
 		u := t.order[t.next%len(t.order)]
-		if !t.opts.Known(u) {
+		l := t.limits[u]
+		if l.isGone(t.opts.Known(u), now) {
 			t.forget(u)
 			continue
 		}
 		t.next = (t.next + 1) % len(t.order)
-		if l := t.limits[u]; l.Limited || now.Sub(l.knownAt) < withdrawnShared {
+		if l.goneSince.IsZero() && (l.Limited || now.Sub(l.knownAt) < withdrawnShared) {
 			return l.Statement, true
 		}
 	}
 	return Statement{}, false
 }
+
+// isGone reports whether the upstream is missing for long.
+func (l *limit) isGone(exists bool, now time.Time) bool {
+	switch {
+	case exists:
+		l.goneSince = time.Time{}
+	case l.goneSince.IsZero():
+		l.goneSince = now
+	}
+	return !exists && now.Sub(l.goneSince) > goneMax
+}
