Count upstreams that ended at once as one crash for trials too

A part that most prompts share was held back for an hour if all upstreams ended at once, which counts as one crash, and two more later before a response with the part began: the wait until a trial was counted by upstreams. It is counted by crashes now, and 15 minutes at most. The new test failed before (another 59 minutes after the 20 s that three crashes cost).

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -62,7 +62,7 @@
 	}
 	return refusal.New(refusal.Quarantined, "upstreams have ended under requests with a part of this prompt").
 		WithRetryAfter(min(quarantineRetryMax, max(quarantineRetryMin, hold.RetryAfter))).
-		WithCause(fmt.Errorf("part %016x is %s, %d upstreams ended; the prompt has %s", uint64(hold.Part), hold.Verdict, hold.Crashes, q.describeParts()))
+		WithCause(fmt.Errorf("part %016x is %s, %d crashes; the prompt has %s", uint64(hold.Part), hold.Verdict, hold.Crashes, q.describeParts()))
 }
 
 // recordBegan records that a response to the request began, which shows that no part
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -29,7 +29,7 @@
 	// quarantined part is let through. It doubles with each crash beyond
 	// quarantineCrashes, up to trialWaitMax.
 	trialWait    = 20 * time.Second
-	trialWaitMax = time.Hour
+	trialWaitMax = 15 * time.Minute
 	// trialSlot is the time in which one daemon may let a request through. It is longer
 	// than an engine takes to begin a response.
 	trialSlot = 15 * time.Second
@@ -106,6 +106,6 @@
 type Hold struct {
 	Part       Part
 	Verdict    Verdict
-	Crashes    int           // that were not disproved
+	Crashes    int           // that were not disproved; several upstreams that ended at once are one
 	RetryAfter time.Duration // until a request with the part is let through
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -318,3 +318,19 @@
 		t.Errorf("verdicts %v, want %v", verdicts, want)
 	}
 }
+
+// Guards against a popular part that is held back for an hour because all upstreams
+// ended at once, and two more later, before a response with it began.
+func TestManyUpstreamsThatEndAtOnceDelayNoTrial(t *testing.T) {
+	table := New(Options{})
+	for n := range uint32(maxCrashes) {
+		table.Crashed(n, []Part{template}, at(-1), at(0))
+	}
+	apply(table, []step{{5, 100, []Part{template}}, {10, 101, []Part{template}}})
+	if table.verdicts[template] != Quarantined {
+		t.Fatal("not quarantined")
+	}
+	if h := table.Check([]Part{template}, false, at(10).Add(trialWait+time.Second)); h != nil {
+		t.Errorf("held back %v after the last crash, for another %v", trialWait, h.RetryAfter)
+	}
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -131,8 +131,7 @@
 		if !repeat && t.startTrial(p, r, now) {
 			continue
 		}
-		n, _ := r.undisproved()
-		hold = &Hold{Part: p, Verdict: v, Crashes: n, RetryAfter: max(0, r.trialDue().Sub(now))}
+		hold = &Hold{Part: p, Verdict: v, Crashes: r.count(nil), RetryAfter: max(0, r.trialDue().Sub(now))}
 	}
 	return hold
 }
@@ -241,8 +240,7 @@
 	}
 	for p, v := range t.verdicts {
 		if v != old[p] {
-			n, _ := t.records[p].undisproved()
-			changes = append(changes, change{p, v, n})
+			changes = append(changes, change{p, v, t.records[p].count(nil)})
 		}
 	}
 	return func() {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -77,27 +77,22 @@
 	return n
 }
 
-// undisproved returns the number of upstreams whose crash is not disproved, and the
-// time of the latest.
-func (r *record) undisproved() (n int, latest time.Time) {
+// lastCrash returns the time of the latest crash that is not disproved.
+func (r *record) lastCrash() time.Time {
+	latest := time.Time{}
 	for _, c := range r.crashes {
-		if c.disproved {
-			continue
-		}
-		n++
-		if c.at.After(latest) {
+		if !c.disproved && c.at.After(latest) {
 			latest = c.at
 		}
 	}
-	return n, latest
+	return latest
 }
 
 // trialDue returns the time from which a request with the part may be let through.
 func (r *record) trialDue() time.Time {
-	n, latest := r.undisproved()
 	wait := trialWait
-	for range n - quarantineCrashes {
+	for range r.count(nil) - quarantineCrashes {
 		wait = min(2*wait, trialWaitMax)
 	}
-	return latest.Add(wait)
+	return r.lastCrash().Add(wait)
 }
