Remove entries of ended upstreams after a restored store in the soak

These instances had ended; the copy that the store was restored from had their entries again, and nothing removed them, while the platform drops an entry that nobody renews. The soak does so now after the same time.

--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -94,6 +94,7 @@
 	case plan.StoreRestored:
 		sleepUntil(ctx, end.Add(restoreDelay))
 		s.check(s.in.operator.repeat(ctx))
+		go s.removeEnded(ctx, end.Add(site.EntryTimeout))
 	default:
 		sleepUntil(ctx, end)
 	}
@@ -135,6 +136,17 @@
 	}
 }
 
+// removeEnded removes the entries of instances that have ended, at a time: a store that
+// was restored from a copy has them again, and nobody renews them.
+func (s *soak) removeEnded(ctx context.Context, at time.Time) {
+	if !sleepUntil(ctx, at) {
+		return
+	}
+	for _, instance := range s.in.ended() {
+		s.removeEntry(ctx, instance)
+	}
+}
+
 // Times of engines that end under a request.
 const (
 	crashPoll    = 20 * time.Millisecond
--- a/bench/soak/installation.go
+++ b/bench/soak/installation.go
@@ -151,6 +151,19 @@
 	return upstream.InstanceID(i, in.starts[i]-1)
 }
 
+// ended returns the ids of the starts of upstreams before the newest ones.
+func (in *installation) ended() []string {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	var out []string
+	for i, starts := range in.starts {
+		for generation := range starts - 1 {
+			out = append(out, upstream.InstanceID(i, generation))
+		}
+	}
+	return out
+}
+
 // startTimeout bounds the start of the store.
 const startTimeout = 5 * time.Second
 
