--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -105,7 +105,8 @@
 // New returns a Balancer without any upstream state.
 func New(opts Options) *Balancer {
 	return &Balancer{
-		opts: opts, limits: ratelimit.New(ratelimit.Options{}), upstreams: make(map[catalog.Key]*upstreamState), lanes: make(map[string]lane), stores: make(map[uint32]storeState),
+		opts: opts, limits: ratelimit.New(ratelimit.Options{}),
+		upstreams: make(map[catalog.Key]*upstreamState), lanes: make(map[string]lane), stores: make(map[uint32]storeState),
 		held: holders.New(heldMax), pending: holders.New(pendingMax),
 	}
 }
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -78,7 +78,7 @@
 	if perSecond == nil && t.limited.Load() == 0 {
 		return
 	}
-	s := Statement{Upstream: upstream, Limited: perSecond != nil, Version: 1}
+	s := Statement{Upstream: upstream, Limited: perSecond != nil}
 	if perSecond != nil {
 		s.Rate = NewRate(*perSecond)
 	}
