Show in failed attempts which request it was and whether it was sent

Change: 2004 has the identity of the request, a hash of what is equal when a caller sends it again, and without a response whether a byte was sent and on a reused connection. No decision uses them yet.

Before: TestFailedAttemptShowsTheIdentityOfItsRequest fails, no such words. After: it passes with the package's other tests.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -306,9 +306,7 @@
 	o.Upstream = a.pick.Upstream
 	o.Remaining = time.Until(q.deadline)
 	o.Urgency = -1
-	if q.workspace != nil && !q.route.Public {
-		o.Workspace = q.workspace.Name
-	}
+	o.Workspace = q.workspaceName()
 	if q.service.Engine != nil {
 		o.Version = a.pick.Version
 		o.Salt = cacheSalt(q, a.pick.Version)
@@ -389,22 +387,26 @@
 	g.end(a, outcome)
 	g.opts.Recorder.Record(event.Event{
 		ID: event.AttemptFailed, Request: q.ID, Upstream: a.pick.Upstream.ID,
-		Step: "send", Detail: q.evidence(a), Err: failure.At("send", a.pick.Upstream.Address, err),
+		Step: "send", Detail: q.evidence(a, err), Err: failure.At("send", a.pick.Upstream.Address, err),
 	})
 }
 
-// evidence describes for the log what an attempt's response says about whose it is
-// and whether the request ran, how much of it came, and what the prompt holds.
-func (q *request) evidence(a *attempt) string {
+// evidence describes for the log what an attempt that failed with err shows: whether a
+// byte of the request was sent, what the response says about whose it is and whether
+// the request ran, how much of it came, and what the request holds.
+func (q *request) evidence(a *attempt, err error) string {
+	request := fmt.Sprintf("route %s, identity %016x", q.route.Name, uint64(q.identity(q.Prompt != nil)))
 	if a.response == nil {
-		return fmt.Sprintf("route %s, no response, parts %s", q.route.Name, q.partIDs())
+		var f *failedAttempt
+		sent := errors.As(err, &f) && f.sent
+		return fmt.Sprintf("%s, no response, sent %t, connection reused %t, parts %s", request, sent, upstream.Reused(err), q.partIDs())
 	}
 	owner := "this request"
 	if a.head.ID != q.ID {
 		owner = fmt.Sprintf("%q", a.head.ID)
 	}
-	return fmt.Sprintf("route %s, status %d, response to %s, signed %t, states not run %t, connection reused %t, events %d, parts %s",
-		q.route.Name, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused, a.events, q.partIDs()) + a.statedLimit()
+	return fmt.Sprintf("%s, status %d, response to %s, signed %t, states not run %t, connection reused %t, events %d, parts %s",
+		request, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused, a.events, q.partIDs()) + a.statedLimit()
 }
 
 // statedLimit describes for the log the limit that the response's head states, if any.
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net/http"
+	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -121,3 +124,22 @@
 		}
 	}
 }
+
+// Failed attempts at the same request must show the same identity, whatever its id,
+// and attempts at others another one, so that logs tell whether one request is behind
+// several failures.
+func TestFailedAttemptShowsTheIdentityOfItsRequest(t *testing.T) {
+	f := start(t, newReplica(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	for i, path := range []string{"/once/a", "/once/a", "/once/a?q", "/once/b", "/public/a"} {
+		_, _, _ = f.post(t, path, "Id", strconv.Itoa(i)) // is cut
+	}
+	_ = f.record.Close()
+	shown := regexp.MustCompile(`identity ([0-9a-f]{16}), no response, sent true`).FindAllStringSubmatch(f.logs.String(), -1)
+	var identities []string
+	for _, match := range shown {
+		identities = append(identities, match[1])
+	}
+	if len(identities) < 5 || identities[0] != identities[1] || len(slices.Compact(slices.Sorted(slices.Values(identities)))) != 4 {
+		t.Errorf("identities %q in %s", identities, f.logs)
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -110,6 +110,13 @@
 	return true
 }
 
+// Reused reports whether err wraps a *SendError of a connection that had served another
+// request before.
+func Reused(err error) bool {
+	var s *SendError
+	return errors.As(err, &s) && s.Reused
+}
+
 // StatusError is a response by which an upstream refused a call.
 type StatusError struct {
 	Status  int
