See a reused connection that breaks under an idempotent request

Cause: on a reused connection that breaks before the response, net/http tries GET, HEAD and OPTIONS again. RoundTrip lets no byte of that out, but the error became that of the new dial. Nothing could tell the end of a process under a request from one that had ended before.

Ruled out: that the requests were not sent; the users' record shows their arrival.

Change: RoundTrip stops the transport as soon as it looks for another connection after a byte was written, and the error is ErrClosedAfterSend, which counts as a break.

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -92,7 +92,7 @@
 	if a.events > 0 || (a.response != nil && a.response.StatusCode != http.StatusOK) || !upstream.Sent(err) {
 		return false
 	}
-	for _, cause := range []error{upstream.ErrTruncated, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET} {
+	for _, cause := range []error{upstream.ErrClosedAfterSend, upstream.ErrTruncated, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET} {
 		if errors.Is(err, cause) {
 			return true
 		}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -11,10 +11,10 @@
 	"sync"
 )
 
-// errNoResend is the error of a request whose connection closed after a byte of it
-// was written. net/http would send some of them again: GET, HEAD, OPTIONS, TRACE and
-// those with an idempotency key.
-var errNoResend = errors.New("the connection closed after the request was sent on it")
+// ErrClosedAfterSend is the error of a request whose reused connection broke after a
+// byte of it was written. net/http would send some of them again: GET, HEAD, OPTIONS,
+// TRACE and those with an idempotency key.
+var ErrClosedAfterSend = errors.New("the connection closed after the request was sent on it")
 
 // Reply is the response to one request, whose body is not read yet, and how it was
 // got.
@@ -41,11 +41,11 @@
 func RoundTrip(t http.RoundTripper, req *http.Request) (*Reply, error) {
 	ctx, cancel := context.WithCancelCause(req.Context())
 	s := &singleSend{cancel: cancel}
-	trace := &httptrace.ClientTrace{GotConn: s.gotConn}
+	trace := &httptrace.ClientTrace{GetConn: s.getConn, GotConn: s.gotConn}
 	res, err := t.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace))) //nolint:bodyclose // closed by the caller
 	if err != nil {
 		cancel(err)
-		return nil, &SendError{Sent: s.seal(), Reused: s.reused, Err: err}
+		return nil, s.failed(err)
 	}
 	res.Body = &cancellingBody{ReadCloser: res.Body, cancel: cancel}
 	reply := &Reply{Response: res, Reused: s.reused, conn: s.conn}
@@ -82,6 +82,19 @@
 	conn   net.Conn // the latest; nil: none yet
 	before int64    // bytes that were written to conn before the request
 	reused bool     // conn had served another request before
+	broken bool     // the transport looked for another connection after a byte was written
+}
+
+// getConn makes the transport give up when it looks for another connection after a
+// byte of the request was written.
+func (s *singleSend) getConn(string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.sent() {
+		return
+	}
+	s.broken = true
+	s.cancel(ErrClosedAfterSend)
 }
 
 // gotConn notes the connection on which the request is about to be sent. If a byte
@@ -94,7 +107,7 @@
 		if ok {
 			tracked.seal()
 		}
-		s.cancel(errNoResend)
+		s.cancel(ErrClosedAfterSend)
 		return
 	}
 	s.conn, s.reused = info.Conn, info.Reused
@@ -103,12 +116,15 @@
 	}
 }
 
-// seal forbids further writes of the request and reports whether a byte of it may
-// have been written.
-func (s *singleSend) seal() bool {
+// failed forbids further writes of the request and returns the error of a request that
+// failed with err. What happened after its connection broke is not the cause.
+func (s *singleSend) failed(err error) *SendError {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.sent()
+	if s.broken {
+		err = ErrClosedAfterSend
+	}
+	return &SendError{Sent: s.sent(), Reused: s.reused, Err: err}
 }
 
 // sent forbids further writes to the connection and reports whether a byte of the
