Hold back a request that comes again and crashes the replicas that run it

Cause: the evidence of internal/quarantine was about parts of prompts only. A request of a plain service has none, so that no daemon recorded or told what had ended three replicas. Class: a bound over all daemons, kept by what each sees at one moment.

Change: the whole request (method, host, path, query, workspace, body; with a prompt also its parts) is one more element, the deepest one, of the same table with the same verdicts, notices and trials. Ends under the same request count each, also at the same time.

TestTrials now checks the wait of 80 s where it checked 40 s, with the same margins.

--- a/internal/control/peers/quarantine.go
+++ b/internal/control/peers/quarantine.go
@@ -44,5 +44,5 @@
 		id = event.PartReleased
 	case quarantine.Suspected:
 	}
-	p.opts.Recorder.Record(event.Event{ID: id, Step: "quarantine", Detail: fmt.Sprintf("part %016x, %d crashes", uint64(part), crashes)})
+	p.opts.Recorder.Record(event.Event{ID: id, Step: "quarantine", Detail: fmt.Sprintf("%s, %d crashes", part, crashes)})
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -39,57 +39,61 @@
 	return shared[max(0, len(shared)-maxSharedParts):]
 }
 
-// quarantineParts returns the shared parts of the prompt as the quarantine knows them.
-func (q *request) quarantineParts() []quarantine.Part {
-	shared := q.sharedParts()
-	parts := make([]quarantine.Part, 0, len(shared))
-	for _, p := range shared {
-		parts = append(parts, quarantine.PartOf(q.service.Name, p.ID))
+// watchedParts returns what the quarantine knows of the request: the shared parts of
+// its prompt and the whole of it, without and with its prompt.
+func (q *request) watchedParts() []quarantine.Part {
+	if q.watched != nil {
+		return q.watched
+	}
+	for _, p := range q.sharedParts() {
+		q.watched = append(q.watched, quarantine.PartOf(q.service.Name, p.ID))
 	}
-	return parts
+	q.watched = append(q.watched, q.identity(false))
+	if q.Prompt != nil {
+		q.watched = append(q.watched, q.identity(true))
+	}
+	return q.watched
 }
 
-// checkParts returns a refusal if the prompt has a part that crashes upstreams. A
-// stream that has begun shows that it has none.
+// checkParts returns a refusal if the request, or a part of its prompt, crashes
+// upstreams. A stream that has begun shows that it does not.
 func (g *Gateway) checkParts(q *request) error {
-	parts := q.quarantineParts()
-	if len(parts) == 0 || q.headSent {
+	if q.headSent || g.opts.Quarantine.IsEmpty() {
 		return nil
 	}
-	hold := g.opts.Quarantine.Check(parts, q.runs > 0, freshness.Time())
+	hold := g.opts.Quarantine.Check(q.watchedParts(), q.runs > 0, freshness.Time())
 	if hold == nil {
 		return nil
 	}
-	return refusal.New(refusal.Quarantined, "upstreams have ended under requests with a part of this prompt").
+	return refusal.New(refusal.Quarantined, "upstreams have ended under this request, or under others with a part of its prompt").
 		WithRetryAfter(min(quarantineRetryMax, max(quarantineRetryMin, hold.RetryAfter))).
-		WithCause(fmt.Errorf("part %016x is %s, %d crashes; the prompt has %s", uint64(hold.Part), hold.Verdict, hold.Crashes, q.describeParts()))
+		WithCause(fmt.Errorf("%s is %s, %d crashes; %s", hold.Part, hold.Verdict, hold.Crashes, q.describeParts()))
 }
 
-// recordBegan records that a response to the request began, which shows that no part
-// of its prompt crashes upstreams.
+// recordBegan records that a response to the request began, which shows that neither
+// it nor a part of its prompt crashes upstreams.
 func (g *Gateway) recordBegan(q *request) {
-	if parts := q.quarantineParts(); len(parts) > 0 {
-		g.opts.Quarantine.Began(parts, freshness.Time())
+	if !g.opts.Quarantine.IsEmpty() {
+		g.opts.Quarantine.Began(q.watchedParts(), freshness.Time())
 	}
 }
 
 // recordCrash records that a's upstream ended before its response began, if that is
 // how the attempt failed with err.
 func (g *Gateway) recordCrash(q *request, a *attempt, err error) {
-	parts := q.quarantineParts()
-	if len(parts) == 0 || q.headSent || !a.brokeOff(err) || !g.hasEnded(a) {
+	if q.headSent || !a.brokeOff(err) || !g.hasEnded(a) {
 		return
 	}
-	g.opts.Quarantine.Crashed(a.pick.Upstream.ShortID(), parts, a.sentAt, freshness.Time())
+	g.opts.Quarantine.Crashed(a.pick.Upstream.ShortID(), q.watchedParts(), a.sentAt, freshness.Time())
 	g.opts.Recorder.Record(event.Event{
-		ID: event.UpstreamCrashed, Request: q.ID, Upstream: a.pick.Upstream.ID, Step: "send", Detail: "the prompt has " + q.describeParts(),
+		ID: event.UpstreamCrashed, Request: q.ID, Upstream: a.pick.Upstream.ID, Step: "send", Detail: q.describeParts(),
 	})
 }
 
 // brokeOff reports whether err shows that the upstream closed the connection before a
 // whole event or body came, without having answered with a failure.
 func (a *attempt) brokeOff(err error) bool {
-	if a.events > 0 || (a.response != nil && a.response.StatusCode != http.StatusOK) || !upstream.Sent(err) {
+	if a.events > 0 || (a.response != nil && !isSuccess(a.response.StatusCode)) || !upstream.Sent(err) {
 		return false
 	}
 	for _, cause := range []error{upstream.ErrClosedAfterSend, upstream.ErrTruncated, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET} {
@@ -113,12 +117,22 @@
 	return ended == true
 }
 
-// describeParts returns the ids of the shared parts with their numbers in the
-// quarantine for the log.
+// isSuccess reports whether a status is 2xx.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// describeParts describes for the log what the quarantine knows of the request, and
+// the ids of the shared parts of its prompt.
 func (q *request) describeParts() string {
 	var out []string
-	for _, p := range q.sharedParts() {
-		out = append(out, fmt.Sprintf("%.16s (%016x)", p.ID, uint64(quarantine.PartOf(q.service.Name, p.ID))))
+	shared := q.sharedParts()
+	for i, p := range q.watchedParts() {
+		text := p.String()
+		if i < len(shared) {
+			text += fmt.Sprintf(" (%.16s)", shared[i].ID)
+		}
+		out = append(out, text)
 	}
 	return strings.Join(out, ", ")
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,7 @@
 	Proof       *freshness.Proof  // when the configuration was last proved to be the newest
 	MaxProofAge time.Duration     // maximum age of Proof at which keys are accepted
 	Origins     Origins           // nil: callers resume streams at any build
-	Quarantine  *quarantine.Table // parts of prompts that crash upstreams; nil: shared with no other daemon
+	Quarantine  *quarantine.Table // requests and parts of prompts that crash upstreams; nil: shared with no other daemon
 	// StaleWeightsCut is the time after the announcement of a newer weights version
 	// from which a request that still waits in an engine with older weights is taken
 	// back; 0: never.
@@ -99,6 +99,8 @@
 	workspace *catalog.Workspace // nil on a public route without a key
 	headSent  bool               // the status line was sent to the caller
 
+	watched []quarantine.Part // see watchedParts
+
 	tried  []catalog.Key
 	permit retry.Permit // of the latest repeat
 	sends  int          // attempts that may have reached an upstream
--- a/internal/gateway/identity.go
+++ b/internal/gateway/identity.go
@@ -8,10 +8,10 @@
 	"currantpulley/internal/quarantine"
 )
 
-// identity returns a hash of what makes two requests the same to an upstream: method,
+// identity returns what makes two requests the same to an upstream: method,
 // host, path, query, workspace and body. Of the header fields only the prompt counts,
-// and only withPrompt, since others differ between a caller's attempts. It is a
-// cryptographic hash, so that no caller can give a request the identity of another's.
+// and only withPrompt, since others differ between a caller's attempts. The hash is a
+// cryptographic one, so that no caller can give a request the identity of another's.
 func (q *request) identity(withPrompt bool) quarantine.Part {
 	h := sha256.New()
 	writeField(h, []byte(q.r.Method))
@@ -24,7 +24,7 @@
 			writeField(h, []byte(p.ID))
 		}
 	}
-	return quarantine.Part(binary.BigEndian.Uint64(h.Sum(nil)))
+	return quarantine.RequestOf(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
 // writeField writes data to h after its length, so that no two lists of fields are the
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -39,7 +39,7 @@
 		return f
 	}
 	g.opts.Balancer.Began(a.pick, freshness.Time())
-	if a.response.StatusCode == http.StatusOK {
+	if isSuccess(a.response.StatusCode) {
 		g.recordBegan(q)
 	}
 	q.recordWrite()
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -174,12 +174,12 @@
 		t.Error("a repeat was let through")
 	}
 	table.Crashed(99, parts, at(last+23), at(last+23))
-	if letsThrough(last+23+39) || !letsThrough(last+23+41) {
-		t.Error("the wait did not double")
+	if letsThrough(last+23+79) || !letsThrough(last+23+81) {
+		t.Error("the wait did not grow to four times its length")
 	}
-	table.Began(parts, at(last+70))
+	table.Began(parts, at(last+110))
 	for range 2 {
-		if !letsThrough(last + 70) {
+		if !letsThrough(last + 110) {
 			t.Error("held back after a response began")
 		}
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -36,12 +36,15 @@
 
 // Crashed records that an upstream ended before the response to a request with the
 // parts began, which was sent at sentAt. The parts are in the order of the prompt,
-// without the last one, which belongs to the request alone.
+// without the last one, which belongs to the request alone; the whole request follows.
 func (t *Table) Crashed(upstream uint32, parts []Part, sentAt, now time.Time) {
 	t.mu.Lock()
 	var changed []Suspect
 	for depth, p := range parts {
 		r := t.recordOf(p, now)
+		if p.isWhole() {
+			depth += wholeDepth
+		}
 		r.depth = max(r.depth, depth)
 		r.usedAt = now
 		if _, known := r.crashes[upstream]; known {
@@ -108,6 +111,14 @@
 	return hold
 }
 
+// IsEmpty reports whether there is no evidence against any part: Check and Began have
+// no effect then.
+func (t *Table) IsEmpty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.records) == 0
+}
+
 // hasExpired reports whether the evidence against one of the parts is too old.
 func (t *Table) hasExpired(parts []Part, now time.Time) bool {
 	return slices.ContainsFunc(parts, func(p Part) bool { return t.records[p].isIdle(now, idleMax) })
@@ -199,7 +210,7 @@
 	if len(t.records) >= maxParts {
 		t.dropOne()
 	}
-	r := &record{crashes: make(map[uint32]crash), usedAt: usedAt}
+	r := &record{whole: p.isWhole(), crashes: make(map[uint32]crash), usedAt: usedAt}
 	t.records[p] = r
 	return r
 }
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -7,6 +7,7 @@
 
 // record is the evidence against one part.
 type record struct {
+	whole   bool // the part is a whole request
 	depth   int
 	crashes map[uint32]crash // by upstream
 	usedAt  time.Time        // of the latest crash or request with the part
@@ -62,7 +63,7 @@
 
 // count returns the number of crashes that are neither disproved nor explained.
 // Upstreams that ended within crashSpan under requests that were sent before the first
-// of them ended count once.
+// of them ended count once, unless the requests are the same.
 func (r *record) count(explained map[uint32]bool) int {
 	n, last := 0, time.Time{}
 	for _, u := range slices.Backward(r.newestFirst()) {
@@ -70,7 +71,7 @@
 		if c.disproved || explained[u] {
 			continue
 		}
-		if c.at.Sub(last) >= crashSpan || !c.sentAt.Before(last) {
+		if r.whole || c.at.Sub(last) >= crashSpan || !c.sentAt.Before(last) {
 			n, last = n+1, c.at
 		}
 	}
@@ -92,7 +93,7 @@
 func (r *record) trialDue() time.Time {
 	wait := trialWait
 	for range r.count(nil) - quarantineCrashes {
-		wait = min(2*wait, trialWaitMax)
+		wait = min(trialGrowth*wait, trialWaitMax)
 	}
 	return r.lastCrash().Add(wait)
 }
