Don't take the end of an upstream's process for the end of an unframed answer

Cause: half of the stand-ins end with an answer half out that has neither a length nor chunks. The kernel closes the connections of a process that ends in order, so the part looked like the whole: it was relayed as a success and cleared the evidence. A stream that ended so between two events was not resumed. Class: an end that is inferred.

Change: when only the end of the connection marks the end of a response, the upstream's port is tried; if it refuses, the response is truncated: it is repeated, resumed or fails, and counts as a crash. This costs one connection per unframed answer.

Before: TestUnframedAnswerOfAnUpstreamThatHasEndedIsNotComplete and TestUnframedStreamOfAnUpstreamThatHasEndedIsResumed fail for all kinds of route (5 replicas ended, want 3).

Conclusion: an upstream that ends right after a whole unframed answer costs a repeat.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -33,6 +33,10 @@
 func (g *Gateway) relayBuffered(q *request, a *attempt) error {
 	defer func() { _ = a.response.Body.Close() }()
 	head, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes))
+	complete := len(head) < maxBufferedBytes
+	if err == nil && complete {
+		err = g.checkEnd(q, a)
+	}
 	if err != nil {
 		f := &failedAttempt{sent: true, err: fmt.Errorf("%w: %w", upstream.ErrTruncated, err)}
 		g.fail(q, a, f)
@@ -43,7 +47,6 @@
 		g.recordBegan(q)
 	}
 	q.recordWrite()
-	complete := len(head) < maxBufferedBytes
 	g.writeHead(q, a, complete, len(head))
 	if _, err := q.w.Write(head); err != nil {
 		g.end(a, balance.Cancelled)
@@ -58,7 +61,11 @@
 
 // relayRemainder relays what follows the first maxBufferedBytes of a response.
 func (g *Gateway) relayRemainder(q *request, a *attempt) error {
-	if _, err := io.Copy(q.w, a.response.Body); err != nil {
+	_, err := io.Copy(q.w, a.response.Body)
+	if err == nil {
+		err = g.checkEnd(q, a)
+	}
+	if err != nil {
 		g.fail(q, a, err)
 		return fmt.Errorf("%w: %w", errTruncatedRelay, err)
 	}
@@ -66,6 +73,19 @@
 	return nil
 }
 
+// errUpstreamEnded is the error of a response whose end may be that of its upstream's
+// process.
+var errUpstreamEnded = errors.New("it has no length and its upstream has ended")
+
+// checkEnd returns an error if only the end of the connection marks the end of a's
+// response and the upstream has ended: its connections close then, too.
+func (g *Gateway) checkEnd(q *request, a *attempt) error {
+	if q.r.Method != http.MethodHead && framingOf(a.response.Response) == framingConnection && g.hasEnded(a) {
+		return errUpstreamEnded
+	}
+	return nil
+}
+
 // writeHead sends the status line and the header fields to the caller. If the
 // response is complete, length is the size of its body. The response to HEAD keeps
 // the length that the upstream stated.
@@ -205,7 +225,7 @@
 			return q.checkEmptyStream(a)
 		}
 		if errors.Is(err, io.EOF) {
-			return nil
+			return g.checkEnd(q, a)
 		}
 		if err != nil {
 			return err
--- a/internal/gateway/unframed_test.go
+++ b/internal/gateway/unframed_test.go
@@ -6,12 +6,19 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 )
 
 // newRawReplica starts an upstream that calls respond for the first request of
 // each connection and then closes the connection.
 func newRawReplica(t *testing.T, respond func(c *net.TCPConn, r *http.Request)) *replica {
+	t.Helper()
+	return newListeningReplica(t, func(c *net.TCPConn, r *http.Request, _ net.Listener) { respond(c, r) })
+}
+
+// newListeningReplica is newRawReplica with the listener, which respond may close.
+func newListeningReplica(t *testing.T, respond func(c *net.TCPConn, r *http.Request, l net.Listener)) *replica {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -24,7 +31,7 @@
 			if err != nil {
 				return
 			}
-			go serveOnce(c, respond)
+			go serveOnce(c, func(c *net.TCPConn, r *http.Request) { respond(c, r, l) })
 		}
 	}()
 	return &replica{Server: &httptest.Server{URL: "http://" + l.Addr().String()}}
@@ -148,3 +155,49 @@
 		t.Errorf("%v %q %v", res, body, err)
 	}
 }
+
+// Guards against an answer without a length that was cut by the end of its upstream's
+// process, which closes its connections in an orderly way, being relayed as complete
+// and taken for proof that the request is sound.
+func TestUnframedAnswerOfAnUpstreamThatHasEndedIsNotComplete(t *testing.T) {
+	for path, answer := range map[string]string{"/once/": "ans", "/idempotent/": "", "/public/": strings.Repeat("a", 300<<10), "/stream/": streamEvent1} {
+		var replicas []*replica
+		ended := 0
+		for range 5 {
+			replicas = append(replicas, newListeningReplica(t, func(c *net.TCPConn, r *http.Request, l net.Listener) {
+				ended++
+				_ = l.Close()
+				writeUnframed(c, r, answer)
+			}))
+		}
+		f := start(t, replicas...)
+		for range 5 {
+			if res, body, err := f.post(t, path); err == nil && res.StatusCode == http.StatusOK {
+				t.Errorf("%s: %s, complete body of %d bytes", path, res.Status, len(body))
+			}
+		}
+		if began := len(answer) > 100<<10 || path == "/stream/"; !began && ended != 3 {
+			t.Errorf("%s: %d replicas ended, want 3", path, ended)
+		}
+	}
+}
+
+// Resumable streams must go on elsewhere when their upstream has ended between two
+// events of an answer without a length.
+func TestUnframedStreamOfAnUpstreamThatHasEndedIsResumed(t *testing.T) {
+	a := newListeningReplica(t, func(c *net.TCPConn, r *http.Request, l net.Listener) {
+		_ = l.Close()
+		writeUnframed(c, r, streamEvent1)
+	})
+	f := start(t, a, newReplica(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("After") != "1" {
+			_, _ = w.Write([]byte(streamEvent1))
+		}
+		_, _ = w.Write([]byte(streamEvent2))
+	}))
+	for range 3 { // the first may go to the other upstream
+		if _, body, err := f.post(t, "/resumable/"); err != nil || body != streamEvent1+streamEvent2 {
+			t.Errorf("body %q, %v", body, err)
+		}
+	}
+}
