Try a port twice before its process counts as running

Cause: a process that ends closes its files in the order of their numbers. Its port may close after the connection of the request, and a check in between finds it open.

Change: HasEnded tries a port that accepts once more after 5 ms.

Before: TestHasEndedWhileThePortIsBeingClosed fails.

--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -5,18 +5,35 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 )
 
+// endedPause is the pause before a port that accepts a connection is tried again: a
+// process that ends closes its connections and its port one after the other.
+const endedPause = 5 * time.Millisecond
+
 // HasEnded reports whether the process that listened at address, host:port, has ended:
-// its port refuses connections. A port that accepts one and closes it again tells
-// nothing, as upstreams do so with connections beyond their maximum. HasEnded returns
-// false if no answer comes before ctx ends.
+// its port refuses connections, at once or after a short pause. A port that accepts one
+// and closes it again tells nothing, as upstreams do so with connections beyond their
+// maximum. HasEnded returns false if no answer comes before ctx ends.
 func HasEnded(ctx context.Context, address string) bool {
+	if refuses, known := refusesConnections(ctx, address); refuses || !known {
+		return refuses
+	}
+	time.Sleep(endedPause)
+	refuses, _ := refusesConnections(ctx, address)
+	return refuses
+}
+
+// refusesConnections reports whether the port at address refuses connections; known is
+// false if no answer came.
+func refusesConnections(ctx context.Context, address string) (refuses, known bool) {
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		refuses = errors.Is(err, syscall.ECONNREFUSED)
+		return refuses, refuses
 	}
 	_ = conn.Close()
-	return false
+	return false, true
 }
--- a/internal/upstream/ended_test.go
+++ b/internal/upstream/ended_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"testing"
+	"time"
 )
 
 // Only a port without a listener shows that its process has ended.
@@ -30,3 +31,17 @@
 		t.Error("a port without a listener does not count as ended")
 	}
 }
+
+// Guards against a process that is found to run because it has closed the connection
+// of a request but not yet its port.
+func TestHasEndedWhileThePortIsBeingClosed(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	time.AfterFunc(endedPause/5, func() { _ = l.Close() })
+	if !HasEnded(t.Context(), address) {
+		t.Error("the process counts as running")
+	}
+}
