--- a/bench/soak/caller/attempt.go
+++ b/bench/soak/caller/attempt.go
@@ -69,6 +69,9 @@
 		q.method = onceMethods[c.random.IntN(len(onceMethods))]
 	default:
 		q.method = safeMethods[c.random.IntN(len(safeMethods))]
+		if id := c.harmfulID(plan.CrashingRequest); id != "" {
+			q.method, q.path = http.MethodGet, route.Prefix+id
+		}
 	}
 	if c.chance(keyShare) {
 		name := []string{"Idempotency-Key", "X-Idempotency-Key"}[c.random.IntN(2)]
@@ -92,18 +95,28 @@
 }
 
 // harmfulShare is the share of the streams that have the part which crashes engines,
-// while there is one.
+// and of the safe requests that are the one which crashes plain upstreams, while there
+// is one.
 const harmfulShare = 0.03
 
+// harmfulID returns the id of what crashes upstreams during a fault of a kind, for a
+// share of the requests, else "".
+func (c *caller) harmfulID(kind string) string {
+	for _, f := range c.opts.Plan.Active(time.Now(), plan.Everywhere, func(k string) bool { return k == kind }) {
+		if c.chance(harmfulShare) {
+			return f.HarmfulID()
+		}
+	}
+	return ""
+}
+
 // promptParts returns the parts of the prompt of a request: one of a few, at times one
 // that crashes engines, and its own.
 func (c *caller) promptParts(id string) string {
 	shared := fmt.Sprintf("%x:%d", c.random.IntN(20), promptToken-100)
 	middle := fmt.Sprintf("%x:50", 100+c.random.IntN(100))
-	for _, f := range c.opts.Plan.Active(time.Now(), plan.Everywhere, func(k string) bool { return k == plan.CrashingPart }) {
-		if c.chance(harmfulShare) {
-			middle = f.PartID() + ":50"
-		}
+	if id := c.harmfulID(plan.CrashingPart); id != "" {
+		middle = id + ":50"
 	}
 	return fmt.Sprintf("%s,%s,%s:50", shared, middle, id)
 }
--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -30,12 +30,13 @@
 	RuleRecover  = "RECOVER"  // a daemon does not serve after the last fault
 	RuleMemory   = "MEMORY"   // a daemon holds more memory than its limit
 	RuleCrashes  = "CRASHES"  // requests with a part that crashes engines go on reaching them
+	RuleSame     = "SAME"     // a request that comes again and crashes upstreams goes on reaching them
 	RuleLimit    = "LIMIT"    // an upstream gets more than the limit that it states
 )
 
 // Rules lists the rules in the order of the report.
 var Rules = []string{
-	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleUnasked, RuleOrder, RuleLost, RuleAttempts, RuleGone, RuleLate, RuleDenied, RuleRecover, RuleMemory, RuleCrashes, RuleLimit,
+	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleUnasked, RuleOrder, RuleLost, RuleAttempts, RuleGone, RuleLate, RuleDenied, RuleRecover, RuleMemory, RuleCrashes, RuleSame, RuleLimit,
 }
 
 // Finding is a broken promise.
@@ -49,7 +50,7 @@
 func All(r *record.All) []Finding {
 	return slices.Concat(
 		Twice(r), Refused(r), Budget(r, site.RetryRatio, site.RetryExtra, site.RetryWindow),
-		Mixed(r), Unasked(r), Order(r), Lost(r), Attempts(r), Gone(r), Late(r), Denied(r), Recover(r), Memory(r), Crashes(r), Limits(r),
+		Mixed(r), Unasked(r), Order(r), Lost(r), Attempts(r), Gone(r), Late(r), Denied(r), Recover(r), Memory(r), Crashes(r), Same(r), Limits(r),
 	)
 }
 
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -123,15 +123,8 @@
 		}},
 		{"no success after the last fault", RuleRecover, func(r *record.All) { r.Recoveries[0].After = -1 }},
 		{"success too long after the last fault", RuleRecover, func(r *record.All) { r.Recoveries[0].After = site.Recovery + 1 }},
-		{"requests with a harmful part go on", RuleCrashes, func(r *record.All) {
-			for i := range crashesKnown + harmfulFew + 1 {
-				ms := i * 100
-				if i >= crashesKnown {
-					ms += 3500
-				}
-				r.Arrivals = append(r.Arrivals, record.Arrival{Attempt: fmt.Sprint("a", i), Service: site.Engine, At: at(ms), Part: "p"})
-			}
-		}},
+		{"requests with a harmful part go on", RuleCrashes, func(r *record.All) { plantHarmful(r, partCrashes, record.Arrival{Service: site.Engine, Part: "p"}) }},
+		{"a harmful request goes on", RuleSame, func(r *record.All) { plantHarmful(r, sameCrashes, record.Arrival{Service: site.Engine, Same: "q"}) }},
 		{"more than a stated limit", RuleLimit, func(r *record.All) {
 			for i := range r.Arrivals[:200] {
 				r.Arrivals[i].Limit = 1
@@ -151,6 +144,19 @@
 	}
 }
 
+// plantHarmful adds arrivals like a: as many as crashes are known, and then one too
+// many.
+func plantHarmful(r *record.All, known int, a record.Arrival) {
+	for i := range known + harmfulFew + 1 {
+		ms := i * 100
+		if i >= known {
+			ms += 3500
+		}
+		a.Attempt, a.At = fmt.Sprint("a", i), at(ms)
+		r.Arrivals = append(r.Arrivals, a)
+	}
+}
+
 // Guards against findings for what a paused daemon can't do and what nobody can tell.
 func TestExemptions(t *testing.T) {
 	r := soundRecords()
--- a/bench/soak/check/fleetwide.go
+++ b/bench/soak/check/fleetwide.go
@@ -12,8 +12,9 @@
 
 // Bounds over all daemons together.
 const (
-	crashesKnown  = 5 // after which requests with a part that crashes engines are held back
-	harmfulFew    = 3 // of them that may still arrive
+	partCrashes   = 5 // after which requests with a part that crashes engines are held back
+	sameCrashes   = 3 // the same of a request that comes again
+	harmfulFew    = 3 // requests that may still arrive
 	limitSpan     = 4 * time.Second
 	limitFactor   = 1.5
 	limitExtra    = 5
@@ -40,26 +41,38 @@
 // Crashes checks that hardly any request with a part of its prompt under which engines
 // ended reaches one later than touchTime after the fifth of them.
 func Crashes(r *record.All) []Finding {
+	return harmful(r, RuleCrashes, partCrashes, func(a record.Arrival) string { return a.Part })
+}
+
+// Same checks that a request that comes again, under which upstreams ended, hardly
+// reaches one later than touchTime after the third of them.
+func Same(r *record.All) []Finding {
+	return harmful(r, RuleSame, sameCrashes, func(a record.Arrival) string { return a.Same })
+}
+
+// harmful returns findings of a rule for each cause under which upstreams ended and
+// which reaches too many later than touchTime after it is known from so many crashes.
+func harmful(r *record.All, rule string, known int, causeOf func(record.Arrival) string) []Finding {
 	calls := callsByAttempt(r)
-	byPart := make(map[string][]record.Arrival)
+	byCause := make(map[string][]record.Arrival)
 	for _, a := range r.Arrivals {
-		if a.Part != "" {
-			byPart[a.Part] = append(byPart[a.Part], a)
+		if cause := causeOf(a); cause != "" {
+			byCause[cause] = append(byCause[cause], a)
 		}
 	}
 	var out []Finding
-	for _, part := range slices.Sorted(maps.Keys(byPart)) {
-		arrivals := byPart[part]
-		if len(arrivals) < crashesKnown {
+	for _, cause := range slices.Sorted(maps.Keys(byCause)) {
+		arrivals := byCause[cause]
+		if len(arrivals) < known {
 			continue
 		}
-		bound := arrivals[crashesKnown-1].At.Add(touchTime)
+		bound := arrivals[known-1].At.Add(touchTime)
 		late := slices.DeleteFunc(slices.Clone(arrivals), func(a record.Arrival) bool {
 			return !a.At.After(bound) || !inTouch(r, calls[a.Attempt].Daemon, a.At)
 		})
 		if len(late) > harmfulFew {
-			out = append(out, Finding{RuleCrashes, late[harmfulFew].At, fmt.Sprintf("%d requests with part %s arrived later than %v after the fifth crash, %d in all",
-				len(late), part, touchTime, len(arrivals))})
+			out = append(out, Finding{rule, late[harmfulFew].At, fmt.Sprintf("%d requests with %s arrived later than %v after crash %d, %d in all",
+				len(late), cause, touchTime, known, len(arrivals))})
 		}
 	}
 	return out
--- a/bench/soak/plan/plan.go
+++ b/bench/soak/plan/plan.go
@@ -74,12 +74,14 @@
 
 // Kinds of faults that last longer than others, since daemons have some time to react.
 const (
-	CrashingPart = "crashing-part" // engines end when they begin to answer a request with a part that callers send meanwhile
-	StatedLimit  = "stated-limit"  // an upstream states how many requests it takes
+	CrashingPart    = "crashing-part"    // engines end when they begin to answer a request with a part that callers send meanwhile
+	CrashingRequest = "crashing-request" // plain upstreams end when they run a request that callers send again and again meanwhile
+	StatedLimit     = "stated-limit"     // an upstream states how many requests it takes
 )
 
-// PartID returns the id of the part of prompts that crashes engines during a fault.
-func (f Fault) PartID() string { return fmt.Sprintf("dead%x", f.From.Milliseconds()) }
+// HarmfulID returns the id of the part of prompts that crashes engines during a fault,
+// or the end of the path of the request that crashes plain upstreams.
+func (f Fault) HarmfulID() string { return fmt.Sprintf("dead%x", f.From.Milliseconds()) }
 
 // Limit returns the limit in requests a second that an upstream states during a fault.
 func (f Fault) Limit() float64 { return limitPerShare * f.Share }
@@ -124,7 +126,7 @@
 		Refusing, Silent,
 	}
 	processKinds = []string{PauseDaemon, KillDaemon, StopDaemon, PauseUpstream, KillUpstream, DrainUpstream, ReloadDaemon, ChangeConfig}
-	longKinds    = []string{CrashingPart, StatedLimit}
+	longKinds    = []string{CrashingPart, StatedLimit, CrashingRequest}
 	networkKinds = []string{NetDelay, NetReset, NetOneWay, NetSilent, StoreDown, StoreHang, StoreSlow, StoreLost, StoreRestored}
 )
 
--- a/bench/soak/upstream/need.go
+++ b/bench/soak/upstream/need.go
@@ -17,23 +17,28 @@
 // CrashStatus is the exit status of an upstream that ended under a request.
 const CrashStatus = 3
 
-// crashingPart returns the part of a request's prompt under which engines end now, ""
-// if there is none.
-func (u *Upstream) crashingPart(r *http.Request) string {
-	if u.service != site.Engine {
-		return ""
-	}
+// noteCrash notes in a under which part of the prompt, or under which request, the
+// upstream is about to end, and reports whether it is.
+func (u *Upstream) noteCrash(r *http.Request, a *record.Arrival) bool {
 	for _, f := range u.opts.Plan.Faults { // also after the fault, which requests may outlast
-		if f.Kind == plan.CrashingPart && strings.Contains(r.Header.Get(names.PromptParts), f.PartID()+":") {
-			return f.PartID()
+		switch {
+		case f.Kind == plan.CrashingPart && u.service == site.Engine && strings.Contains(r.Header.Get(names.PromptParts), f.HarmfulID()+":"):
+			a.Trouble, a.Part = f.Kind, f.HarmfulID()
+			return true
+		case f.Kind == plan.CrashingRequest && r.URL.Path == site.RouteSafe.Prefix+f.HarmfulID():
+			a.Trouble, a.Same = f.Kind, f.HarmfulID()
+			return true
 		}
 	}
-	return ""
+	return false
 }
 
-// crash begins to answer a request and ends the process.
-func (u *Upstream) crash(c net.Conn, r *http.Request, a record.Arrival) {
+// crash begins to answer a request, half of the plain ones, and ends the process.
+func (u *Upstream) crash(c net.Conn, a record.Arrival) {
 	time.Sleep(u.between(minWork, maxWork))
+	if a.Same != "" && u.chance(0.5) {
+		os.Exit(CrashStatus)
+	}
 	_, _ = io.WriteString(c, u.head(response{status: http.StatusOK, attempt: a.Attempt, seal: u.nextSeal(), unframed: true}))
 	time.Sleep(u.between(minWork, maxWork))
 	os.Exit(CrashStatus)
--- a/bench/soak/upstream/plant.go
+++ b/bench/soak/upstream/plant.go
@@ -37,7 +37,7 @@
 		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix) && u.chance(plantedShare)
 	}
 	once := strings.HasPrefix(r.URL.Path, site.RouteOnce.Prefix)
-	if rule == check.RuleLimit || rule == check.RuleCrashes {
+	if rule == check.RuleLimit || rule == check.RuleCrashes || rule == check.RuleSame {
 		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix)
 	}
 	if rule == check.RuleDenied {
@@ -73,6 +73,10 @@
 		a.Part = plantedPart
 		u.record(a)
 	}
+	if u.plants(check.RuleSame, r) {
+		a.Same = plantedPart
+		u.record(a)
+	}
 	if u.plants(check.RuleLimit, r) {
 		a.Limit = plantedLimit
 		u.record(a)
--- a/bench/soak/upstream/upstream.go
+++ b/bench/soak/upstream/upstream.go
@@ -232,10 +232,9 @@
 
 // run runs a request that has a slot and answers it, with a trouble if one is drawn.
 func (u *Upstream) run(c net.Conn, r *http.Request, a record.Arrival) bool {
-	if part := u.crashingPart(r); part != "" {
-		a.Trouble, a.Part = plan.CrashingPart, part
+	if u.noteCrash(r, &a) {
 		u.record(a)
-		u.crash(c, r, a)
+		u.crash(c, a)
 	}
 	a.Trouble = u.drawTrouble()
 	a.Seal = u.nextSeal()
