--- a/internal/upstream/trackedconn.go
+++ b/internal/upstream/trackedconn.go
@@ -21,7 +21,7 @@
 }
 
 // dialTracked returns a dial function whose connections are trackedConns.
-func dialTracked(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+func dialTracked(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -24,10 +25,11 @@
 	maxHeaderBytes    = 64 << 10
 )
 
-// NewTransport returns a transport for RoundTrip. It reuses connections and closes
-// them after idleConnTimeout. It is that of net/http, because nbhttp's client returns
-// a response only when it is complete and so can't relay streams.
-func NewTransport() *http.Transport {
+// DialFunc opens a connection to an upstream at address, host:port.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewDial returns the DialFunc that connects over the network.
+func NewDial() DialFunc {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		Control: setUnackedTimeout,
@@ -35,8 +37,20 @@
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
 	}
+	return dialer.DialContext
+}
+
+// NewTransport returns a transport for RoundTrip over the network; see
+// NewTransportOver.
+func NewTransport() *http.Transport { return NewTransportOver(NewDial()) }
+
+// NewTransportOver returns a transport for RoundTrip whose connections dial opens. It
+// reuses connections and closes them after idleConnTimeout. It is that of net/http,
+// because nbhttp's client returns a response only when it is complete and so can't
+// relay streams.
+func NewTransportOver(dial DialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialTracked(dialer.DialContext),
+		DialContext:            dialTracked(dial),
 		MaxIdleConnsPerHost:    idlePerUpstream,
 		IdleConnTimeout:        idleConnTimeout,
 		MaxResponseHeaderBytes: maxHeaderBytes,
@@ -56,8 +70,11 @@
 // NewOnceTransport returns the transport for requests that run at most once.
 // net/http resends a request with an Idempotency-Key header when a reused
 // connection breaks, so this transport does not reuse connections.
-func NewOnceTransport() *http.Transport {
-	t := NewTransport()
+func NewOnceTransport() *http.Transport { return NewOnceTransportOver(NewDial()) }
+
+// NewOnceTransportOver is NewOnceTransport with connections that dial opens.
+func NewOnceTransportOver(dial DialFunc) *http.Transport {
+	t := NewTransportOver(dial)
 	t.DisableKeepAlives = true
 	return t
 }
