Reach upstreams through other daemons while the own way fails

Cause: a daemon had one way to an upstream, its own connection. Class: what one daemon alone sees is taken for the state of the system.

Kept connections that hang cost the first three seconds.

Change: internal/detour tries another daemon when an own connection is not established, for a request that has sent nothing, and asks others first while three upstreams or more are reached only so. internal/control/tunnel carries the bytes of a connection; the daemon that took the request goes on to decide everything. A daemon that is cut off says so in its states, gives up the lease for orders and doesn't probe cache stores. An upstream counts as ended only if another daemon is refused, too.

--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -18,6 +18,7 @@
 	Weights   map[string]WeightsTarget // by model
 	byService map[string][]*Upstream
 	byShortID map[uint32]*Upstream
+	addresses map[string]bool
 }
 
 // UpstreamsOf returns the upstreams of a service, sorted by id and including
@@ -28,6 +29,9 @@
 // is none.
 func (s *Snapshot) ByShortID(shortID uint32) *Upstream { return s.byShortID[shortID] }
 
+// HasAddress reports whether an upstream has the address, host:port.
+func (s *Snapshot) HasAddress(address string) bool { return s.addresses[address] }
+
 // Watcher applies updates from providers to the current snapshot and tells
 // readers of changes. It is safe for concurrent use.
 type Watcher struct {
@@ -152,11 +156,13 @@
 	return removed
 }
 
-// index rebuilds the indexes of upstreams by service and by 32-bit id.
+// index rebuilds the indexes of upstreams by service, by 32-bit id and by address.
 func (s *Snapshot) index() {
 	s.byService = make(map[string][]*Upstream)
 	s.byShortID = make(map[uint32]*Upstream, len(s.Upstreams))
+	s.addresses = make(map[string]bool, len(s.Upstreams))
 	for _, u := range s.Upstreams {
+		s.addresses[u.Address] = true
 		s.byShortID[u.ShortID()] = u
 		s.byService[u.Service] = append(s.byService[u.Service], u)
 	}
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -88,6 +88,11 @@
 	// Suspect returns the evidence against a quarantined part of prompts, each time
 	// another one; nil or false: none.
 	Suspect func() (quarantine.Suspect, bool)
+	// CutOff reports whether this daemon reaches no upstreams itself; nil: false.
+	CutOff func() bool
+	// OnCutOff applies whether another daemon reaches no upstreams itself. It holds for
+	// lifetime at most; nil: not called.
+	OnCutOff func(vm string, cutOff bool, lifetime time.Duration)
 	// Limit returns the limit that an upstream states, each time of another one; nil or
 	// false: none.
 	Limit func() (ratelimit.Statement, bool)
@@ -220,6 +225,7 @@
 	s.Notices = e.notices.repeated(now, repeatTime(len(e.opts.View().Live())))
 	s.Suspects = e.suspects()
 	s.Limits = e.limits()
+	s.CutOff = e.opts.CutOff != nil && e.opts.CutOff()
 	return s
 }
 
@@ -240,6 +246,9 @@
 	}
 	lifetime := stalePeriods * period(len(e.opts.View().Live()))
 	e.opts.Apply(s.GetVm(), uses, lifetime)
+	if e.opts.OnCutOff != nil {
+		e.opts.OnCutOff(s.GetVm(), s.GetCutOff(), lifetime)
+	}
 	held := make([]balance.Held, 0, len(s.GetHeld()))
 	for _, h := range s.GetHeld() {
 		held = append(held, balance.Held{Prefix: h.GetPrefix(), Holder: h.GetUpstream(), Pending: h.GetComing()})
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -16,6 +16,7 @@
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/control/membership"
 	"currantpulley/internal/control/origins"
+	"currantpulley/internal/control/tunnel"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/freshness"
@@ -23,6 +24,7 @@
 	"currantpulley/internal/quarantine"
 	"currantpulley/internal/ratelimit"
 	"currantpulley/internal/settings"
+	"currantpulley/internal/upstream"
 )
 
 // leaveTimeout bounds the announcement to the others that this daemon stops.
@@ -41,6 +43,9 @@
 	quarantine *quarantine.Table
 	limits     *ratelimit.Table
 	departures departures
+	cutOffs    cutOffs
+	carrier    *tunnel.Server
+	tunnels    *tunnel.Client
 	onOrder    atomic.Pointer[func(k catalog.Key, token uint64, open bool)]
 }
 
@@ -57,6 +62,10 @@
 	Recorder      event.Recorder
 	// Departures delivers the upstreams that this daemon has read to be leaving.
 	Departures <-chan catalog.Key
+	// Dial opens this daemon's own connections to upstreams.
+	Dial upstream.DialFunc
+	// CutOff reports whether this daemon reaches no upstreams itself.
+	CutOff func() bool
 	// Part returns this daemon's part of an allowance that all daemons share, from 0 to
 	// 1. The parts of all daemons add up to 1 at most.
 	Part func() float64
@@ -88,13 +97,16 @@
 		Collect: p.ownUse, Apply: p.applyUse, ComputedPrefixes: p.computedPrefixes, OnComputedPrefixes: p.onComputedPrefixes,
 		Announcements: p.announcements, OnAnnouncement: p.onAnnouncement, OnNotice: p.handleNotice,
 		Proof: p.proof, OnProof: p.onProof, Suspect: p.suspect, Limit: p.limit,
+		CutOff: o.CutOff, OnCutOff: p.cutOffs.set,
 	})
+	p.carrier, p.tunnels = p.newTunnels()
 	p.origins = origins.New(origins.Options{
 		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof, Store: o.Builds,
 	})
 	p.membership.Register(p.server.Server)
 	p.exchange.Register(p.server.Server)
 	p.origins.Register(p.server.Server)
+	p.carrier.Register(p.server.Server)
 	go p.loop.Run(ctx)
 	go func() {
 		if err := p.server.Run(ctx); err != nil && ctx.Err() == nil {
--- a/internal/control/storehealth/storehealth.go
+++ b/internal/control/storehealth/storehealth.go
@@ -45,6 +45,9 @@
 	Probe func(ctx context.Context, address string) (epoch uint64, err error)
 	// Announce announces the state of a store to all daemons.
 	Announce func(s State)
+	// CutOff reports whether this daemon reaches nothing behind the daemons itself. It
+	// does not probe then: its failures tell nothing of a store.
+	CutOff func() bool
 }
 
 // Watch probes the stores that are assigned to this daemon. Its state is owned
@@ -74,7 +77,7 @@
 		case <-t.C:
 		}
 		c := w.opts.Watcher.Load().Config
-		if c == nil {
+		if c == nil || w.opts.CutOff() {
 			continue
 		}
 		for _, s := range c.Stores {
--- a/internal/control/storehealth/storehealth_test.go
+++ b/internal/control/storehealth/storehealth_test.go
@@ -33,6 +33,7 @@
 		Recorder: recorder(func(e event.Event) { events = append(events, e.ID) }),
 		Probe:    func(context.Context, string) (uint64, error) { return epoch, failure },
 		Announce: func(s State) { announced = append(announced, s) },
+		CutOff:   func() bool { return false },
 	})
 	for i, step := range []struct {
 		epoch uint64
--- /dev/null
+++ b/internal/detour/transport.go
@@ -0,0 +1,226 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"currantpulley/internal/control/tunnel"
+	"currantpulley/internal/event"
+	"currantpulley/internal/freshness"
+	"currantpulley/internal/upstream"
+)
+
+const (
+	// ownPatience is the time for an own connection while other daemons can be asked.
+	// It is well above the time that a connection takes between data centres.
+	ownPatience = 150 * time.Millisecond
+	// peersPatience is the time for a connection through another daemon.
+	peersPatience = 400 * time.Millisecond
+	// probePeriod is the time between two tries of the own way while an upstream is
+	// reached through others.
+	probePeriod = 250 * time.Millisecond
+)
+
+// Carriers are the other daemons that open connections to upstreams for this one.
+type Carriers interface {
+	// HasCarriers reports whether there is one to ask.
+	HasCarriers() bool
+	// Dial opens a connection. Its error wraps tunnel.ErrRefused if the upstream's port
+	// refuses connections.
+	Dial(ctx context.Context, address string) (*tunnel.Conn, error)
+	// CloseGone closes the connections through daemons that no longer serve, and
+	// reports whether others should not be used again.
+	CloseGone() bool
+}
+
+// Options configures a Transport. All fields are required.
+type Options struct {
+	Dial     upstream.DialFunc // opens own connections
+	Carriers Carriers
+	Recorder event.Recorder
+}
+
+// Transport is an http.RoundTripper that reaches upstreams directly or, where that
+// fails and another daemon succeeds, through that one. Each way has connections of its
+// own. A request whose first byte was sent one way is never sent another way.
+type Transport struct {
+	opts    Options
+	table   *Table
+	own     *http.Transport
+	peers   *http.Transport
+	silence silence // of own connections
+}
+
+// New returns a Transport. Run must be called, too.
+func New(o Options) *Transport {
+	t := &Transport{opts: o, table: NewTable()}
+	t.own = upstream.NewTransportOver(t.dialOwn)
+	t.peers = upstream.NewTransportOver(t.dialPeers)
+	return t
+}
+
+// CutOff reports whether this daemon reaches no upstreams itself and others do.
+func (t *Transport) CutOff() bool { return t.table.CutOff(freshness.Time()) }
+
+// connectError is the error of a connection that was not established.
+type connectError struct{ err error }
+
+// Error implements error.
+func (e *connectError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *connectError) Unwrap() error { return e.err }
+
+// notConnected reports whether a request that failed with err had no connection.
+func notConnected(req *http.Request, err error) bool {
+	var e *connectError
+	return errors.As(err, &e) && req.Context().Err() == nil
+}
+
+// RoundTrip implements http.RoundTripper. The body of req must be readable again after
+// it was closed unread.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	first, second := http.RoundTripper(t.own), http.RoundTripper(t.peers)
+	if t.table.Way(req.URL.Host, freshness.Time()) == Peers {
+		first, second = second, first
+	}
+	res, err := first.RoundTrip(req)
+	if err == nil || !notConnected(req, err) {
+		t.suspect(req, err)
+		return res, err
+	}
+	res, otherErr := second.RoundTrip(req)
+	if otherErr != nil && notConnected(req, otherErr) {
+		return nil, fmt.Errorf("%w; %w", err, otherErr)
+	}
+	return res, otherErr
+}
+
+// suspect checks the own way to an upstream after an established connection broke or
+// timed out.
+func (t *Transport) suspect(req *http.Request, err error) {
+	broken := errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, upstream.ErrClosedAfterSend)
+	if err == nil || !broken || !t.opts.Carriers.HasCarriers() {
+		return
+	}
+	go t.compareSoon(context.Background(), req.URL.Host)
+}
+
+// compareSoon tries the own way to an upstream and, if that fails, that through others.
+// The table has the results.
+func (t *Transport) compareSoon(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, ownPatience+peersPatience)
+	defer cancel()
+	for _, dial := range []upstream.DialFunc{t.dialOwn, t.dialPeers} {
+		if conn, err := dial(ctx, "tcp", address); err == nil {
+			_ = conn.Close()
+			return
+		}
+	}
+}
+
+// dialOwn opens an own connection.
+func (t *Transport) dialOwn(ctx context.Context, network, address string) (net.Conn, error) {
+	if t.opts.Carriers.HasCarriers() {
+		bounded, cancel := context.WithTimeout(ctx, ownPatience)
+		defer cancel()
+		ctx = bounded
+	}
+	conn, err := t.opts.Dial(ctx, network, address)
+	if err != nil {
+		t.table.OwnFailed(address, freshness.Time())
+		return nil, &connectError{err}
+	}
+	conn = &watchedConn{Conn: conn, address: address, silence: &t.silence}
+	if t.table.OwnWorked(address, freshness.Time()) {
+		t.opts.Recorder.Record(event.Event{ID: event.UpstreamsRegained, Step: "connect", Peer: address})
+	}
+	return conn, nil
+}
+
+// errNotAsked is the error when other daemons found the upstream to have ended a
+// moment ago.
+var errNotAsked = fmt.Errorf("other daemons were not asked again: %w", tunnel.ErrRefused)
+
+// dialPeers opens a connection through another daemon.
+func (t *Transport) dialPeers(ctx context.Context, _, address string) (net.Conn, error) {
+	if !t.table.MayAsk(address, freshness.Time()) {
+		return nil, &connectError{errNotAsked}
+	}
+	ctx, cancel := context.WithTimeout(ctx, peersPatience)
+	defer cancel()
+	conn, err := t.opts.Carriers.Dial(ctx, address)
+	if errors.Is(err, tunnel.ErrRefused) {
+		t.table.PeersRefused(address, freshness.Time())
+	}
+	if err != nil {
+		return nil, &connectError{err}
+	}
+	if t.table.PeersWorked(address, freshness.Time()) {
+		t.own.CloseIdleConnections() // they may hang
+		t.opts.Recorder.Record(event.Event{ID: event.UpstreamsUnreachable, Step: "connect", Peer: address})
+	}
+	return conn, nil
+}
+
+// HasEnded reports whether the process of the upstream at address has ended: its port
+// refuses this daemon's connections and, if another one can be asked, also that one's.
+func (t *Transport) HasEnded(ctx context.Context, address string) bool {
+	if !t.CutOff() && !upstream.HasEnded(ctx, t.dialOwn, address) {
+		return false
+	}
+	conn, err := t.dialPeers(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return errors.Is(err, tunnel.ErrRefused) || !t.CutOff()
+}
+
+// Run tries the own way again while upstreams are reached through others, until ctx
+// ends.
+func (t *Transport) Run(ctx context.Context) {
+	ticker := time.NewTicker(probePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if t.opts.Carriers.CloseGone() {
+			t.peers.CloseIdleConnections()
+		}
+		t.probeOwn(ctx)
+		t.checkSilence(ctx)
+	}
+}
+
+// probeOwn tries the own way to one of the upstreams that are reached through others.
+func (t *Transport) probeOwn(ctx context.Context) {
+	marked := t.table.Marked(freshness.Time())
+	if len(marked) == 0 {
+		return
+	}
+	conn, err := t.dialOwn(ctx, "tcp", marked[rand.IntN(len(marked))])
+	if err == nil {
+		_ = conn.Close()
+	} // else the table has it
+}
+
+// checkSilence checks the own way to upstreams while all own connections are silent
+// after requests were sent on them.
+func (t *Transport) checkSilence(ctx context.Context) {
+	if !t.opts.Carriers.HasCarriers() {
+		return
+	}
+	for _, address := range t.silence.suspects(freshness.Time()) {
+		go t.compareSoon(ctx, address)
+	}
+}
--- a/internal/event/provider.go
+++ b/internal/event/provider.go
@@ -16,6 +16,8 @@
 	CacheStoreLost           ID = 7011
 	CacheStoreAvailable      ID = 7012
 	ProviderRestored         ID = 7013
+	UpstreamsUnreachable     ID = 7014
+	UpstreamsRegained        ID = 7015
 )
 
 var providerEvents = []Definition{
@@ -32,4 +34,6 @@
 	{CacheStoreLost, "cache_store_lost", Warn, "A store of cache entries does not answer; engines are not directed to it until it does."},
 	{CacheStoreAvailable, "cache_store_there", Info, "A store of cache entries answers; detail has its epoch, which changes when it starts empty."},
 	{ProviderRestored, "provider_restored", Warn, "A provider was restored from an older copy; its records are read anew, and what it lost is expected to be written again."},
+	{UpstreamsUnreachable, "upstreams_unreachable", Warn, "This daemon can't connect to upstreams that other daemons reach; its requests go through these, and it gives up the lease for orders to engines."},
+	{UpstreamsRegained, "upstreams_regained", Info, "This daemon connects to upstreams itself again."},
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -112,7 +112,7 @@
 	ended, _, _ := g.endedChecks.Do(u.ID, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), endedTimeout)
 		defer cancel()
-		return upstream.HasEnded(ctx, u.Address), nil
+		return g.opts.HasEnded(ctx, u.Address), nil
 	})
 	return ended == true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"currantpulley/internal/rendezvous"
 	"currantpulley/internal/retry"
 	"currantpulley/internal/server"
+	"currantpulley/internal/upstream"
 )
 
 // Options configure a Gateway.
@@ -34,11 +35,12 @@
 	Transport   http.RoundTripper
 	Retries     *retry.Windows
 	Recorder    event.Recorder
-	Metrics     *metrics.Gateway  // nil: metrics are discarded
-	Proof       *freshness.Proof  // when the configuration was last proved to be the newest
-	MaxProofAge time.Duration     // maximum age of Proof at which keys are accepted
-	Origins     Origins           // nil: callers resume streams at any build
-	Quarantine  *quarantine.Table // requests and parts of prompts that crash upstreams; nil: shared with no other daemon
+	Metrics     *metrics.Gateway                               // nil: metrics are discarded
+	Proof       *freshness.Proof                               // when the configuration was last proved to be the newest
+	MaxProofAge time.Duration                                  // maximum age of Proof at which keys are accepted
+	Origins     Origins                                        // nil: callers resume streams at any build
+	HasEnded    func(ctx context.Context, address string) bool // whether an upstream's process has ended; nil: as own connections show
+	Quarantine  *quarantine.Table                              // requests and parts of prompts that crash upstreams; nil: shared with no other daemon
 	// StaleWeightsCut is the time after the announcement of a newer weights version
 	// from which a request that still waits in an engine with older weights is taken
 	// back; 0: never.
@@ -59,6 +61,10 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.NewGateway(prometheus.NewRegistry())
 	}
+	if o.HasEnded == nil {
+		dial := upstream.NewDial()
+		o.HasEnded = func(ctx context.Context, address string) bool { return upstream.HasEnded(ctx, dial, address) }
+	}
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(quarantine.Options{})
 	}
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -30,7 +30,7 @@
 	NewOrderStages(m.registry).Observe("drain", time.Second)
 	one := func() float64 { return 1 }
 	budget := func() map[string]float64 { return map[string]float64{"s": 1} }
-	State{one, one, one, one, one, budget, one, one, one, one, one, one, one, one, one, one}.Register(m.registry)
+	State{one, one, one, one, one, budget, one, one, one, one, one, one, one, one, one, one, one, one, one}.Register(m.registry)
 	return m
 }
 
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -20,7 +20,10 @@
 	TokensWaiting        func() float64            // prompt tokens waiting for prefill in engines, of all daemons
 	UpstreamsBehind      func() float64            // upstreams whose weights are older than the target
 	OldestWeightsBehind  func() float64            // seconds since weights newer than the oldest ones in use were announced; 0: none are
-	QuarantinedParts     func() float64            // parts of prompts whose requests are held back
+	QuarantinedParts     func() float64            // requests and parts of prompts that are held back
+	CutOff               func() float64            // 1 if other daemons reach upstreams and this one does not, else 0
+	TunnelsOpen          func() float64            // connections to upstreams through other daemons
+	TunnelsCarried       func() float64            // connections to upstreams for other daemons
 	UpstreamsLimited     func() float64            // upstreams that state a limit on requests
 	LogLinesDropped      func() float64            // lines dropped because the log's reader was too slow
 	LogEventsSuppressed  func() float64            // events not logged because of sampling
@@ -45,7 +48,10 @@
 		{"upstreams_behind", "Upstreams whose weights are older than the target.", s.UpstreamsBehind},
 		{"weights_oldest_behind_seconds", "Time since weights newer than the oldest ones in use were announced; 0 if none are.", s.OldestWeightsBehind},
 		{"upstreams_limited", "Upstreams that state a limit on the requests of all daemons together.", s.UpstreamsLimited},
-		{"quarantined_parts", "Parts of prompts that crash upstreams; requests with one are held back.", s.QuarantinedParts},
+		{"cut_off_from_upstreams", "1 while other daemons reach upstreams and this one does not, else 0.", s.CutOff},
+		{"tunnels_open", "Connections to upstreams that go through other daemons.", s.TunnelsOpen},
+		{"tunnels_carried", "Connections to upstreams that this daemon carries for others.", s.TunnelsCarried},
+		{"quarantined_parts", "Requests that come again, and parts of prompts, that crash upstreams and are held back.", s.QuarantinedParts},
 	} {
 		f.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: g.name, Help: g.help}, g.value)
 	}
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -53,7 +53,10 @@
 	Peers     func() int                // number of live daemons, this one included
 	Budget    func() map[string]float64 // number of retries that the budget allows now, by service
 
-	Quarantined func() int // number of parts of prompts whose requests are held back
+	Quarantined func() int  // number of requests and parts of prompts that are held back
+	CutOff      func() bool // whether other daemons reach upstreams and this one does not
+	TunnelsOpen func() int  // number of connections to upstreams through other daemons
+	Carried     func() int  // number of connections to upstreams for other daemons
 }
 
 // Register registers the metrics of the daemon's state in r.
@@ -62,7 +65,10 @@
 		ConfigurationVersion: d.version,
 		ConfigurationAge:     age(d.Config),
 		RegistryAge:          age(d.Registry),
-		LeaseHeld:            d.leaseHeld,
+		LeaseHeld:            flag(d.LeaseHeld),
+		CutOff:               flag(d.CutOff),
+		TunnelsOpen:          func() float64 { return float64(d.TunnelsOpen()) },
+		TunnelsCarried:       func() float64 { return float64(d.Carried()) },
 		Peers:                func() float64 { return float64(d.Peers()) },
 		RetryBudget:          d.Budget,
 		Upstreams:            d.stayingUpstreams,
@@ -86,12 +92,14 @@
 	return 0
 }
 
-// leaseHeld returns 1 if this daemon holds the lease for orders, else 0.
-func (d Daemon) leaseHeld() float64 {
-	if d.LeaseHeld() {
-		return 1
+// flag returns a function that returns 1 while f is true, else 0.
+func flag(f func() bool) func() float64 {
+	return func() float64 {
+		if f() {
+			return 1
+		}
+		return 0
 	}
-	return 0
 }
 
 // stayingUpstreams returns the number of upstreams that are not leaving.
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 	"time"
 )
@@ -13,23 +12,22 @@
 const endedPause = 5 * time.Millisecond
 
 // HasEnded reports whether the process that listened at address, host:port, has ended:
-// its port refuses connections, at once or after a short pause. A port that accepts one
+// its port refuses the connections that dial opens, at once or after a short pause. A port that accepts one
 // and closes it again tells nothing, as upstreams do so with connections beyond their
 // maximum. HasEnded returns false if no answer comes before ctx ends.
-func HasEnded(ctx context.Context, address string) bool {
-	if refuses, known := refusesConnections(ctx, address); refuses || !known {
+func HasEnded(ctx context.Context, dial DialFunc, address string) bool {
+	if refuses, known := refusesConnections(ctx, dial, address); refuses || !known {
 		return refuses
 	}
 	time.Sleep(endedPause)
-	refuses, _ := refusesConnections(ctx, address)
+	refuses, _ := refusesConnections(ctx, dial, address)
 	return refuses
 }
 
 // refusesConnections reports whether the port at address refuses connections; known is
 // false if no answer came.
-func refusesConnections(ctx context.Context, address string) (refuses, known bool) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
+func refusesConnections(ctx context.Context, dial DialFunc, address string) (refuses, known bool) {
+	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
 		refuses = errors.Is(err, syscall.ECONNREFUSED)
 		return refuses, refuses
--- a/internal/upstream/ended_test.go
+++ b/internal/upstream/ended_test.go
@@ -23,11 +23,11 @@
 			_ = c.Close()
 		}
 	}()
-	if HasEnded(t.Context(), address) {
+	if HasEnded(t.Context(), NewDial(), address) {
 		t.Error("a process that resets connections counts as ended")
 	}
 	_ = l.Close()
-	if !HasEnded(t.Context(), address) {
+	if !HasEnded(t.Context(), NewDial(), address) {
 		t.Error("a port without a listener does not count as ended")
 	}
 }
@@ -41,7 +41,7 @@
 	}
 	address := l.Addr().String()
 	time.AfterFunc(endedPause/5, func() { _ = l.Close() })
-	if !HasEnded(t.Context(), address) {
+	if !HasEnded(t.Context(), NewDial(), address) {
 		t.Error("the process counts as running")
 	}
 }
