Ask other daemons whether an upstream has ended when the own way hangs

Cause: the own check of the upstream's port hung, as the daemon had just been started in the cut and did not know yet that it was cut off; no answer counted as running.

Change: upstream.CheckPort tells a silent port from one that accepts; only the latter shows that a process runs. Otherwise another daemon is asked.

Before: TestEndedUpstreamIsFoundOutThroughOthers fails.

--- a/internal/detour/transport.go
+++ b/internal/detour/transport.go
@@ -170,9 +170,13 @@
 }
 
 // HasEnded reports whether the process of the upstream at address has ended: its port
-// refuses this daemon's connections and, if another one can be asked, also that one's.
+// refuses the connections of another daemon or, if none can be asked, this one's.
 func (t *Transport) HasEnded(ctx context.Context, address string) bool {
-	if !t.CutOff() && !upstream.HasEnded(ctx, t.dialOwn, address) {
+	own := upstream.PortSilent
+	if !t.CutOff() {
+		own = upstream.CheckPort(ctx, t.dialOwn, address)
+	}
+	if own == upstream.PortAccepts {
 		return false
 	}
 	conn, err := t.dialPeers(ctx, "tcp", address)
@@ -180,7 +184,7 @@
 		_ = conn.Close()
 		return false
 	}
-	return errors.Is(err, tunnel.ErrRefused) || !t.CutOff()
+	return errors.Is(err, tunnel.ErrRefused) || own == upstream.PortRefuses
 }
 
 // Run tries the own way again while upstreams are reached through others, until ctx
--- a/internal/detour/transport_test.go
+++ b/internal/detour/transport_test.go
@@ -31,6 +31,7 @@
 	*Transport
 	events  events
 	cut     atomic.Bool
+	hangs   atomic.Bool  // how a cut shows: new connections hang, else they are refused
 	owns    atomic.Int64 // own connections
 	carries atomic.Int64 // connections of the other daemon
 }
@@ -66,6 +67,10 @@
 	})
 	own := count(&f.owns)
 	f.Transport = New(Options{Carriers: client, Recorder: f.events, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		if f.cut.Load() && f.hangs.Load() {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
 		if f.cut.Load() {
 			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 		}
@@ -163,6 +168,24 @@
 	}
 }
 
+// Guards against an upstream that has ended and counts as running because the own way
+// to it hangs, while the daemon doesn't know yet that it is cut off.
+func TestEndedUpstreamIsFoundOutThroughOthers(t *testing.T) {
+	f := newFixture(t)
+	var arrivals atomic.Int64
+	s := newEcho(t, &arrivals)
+	address := strings.TrimPrefix(s.URL, "http://")
+	f.cut.Store(true)
+	f.hangs.Store(true)
+	if f.HasEnded(t.Context(), address) {
+		t.Error("an upstream that another daemon reaches counts as ended")
+	}
+	s.Close()
+	if !f.HasEnded(t.Context(), address) {
+		t.Error("an upstream whose port refuses another daemon does not count as ended")
+	}
+}
+
 // A request whose first byte went out must not be sent another way, whatever becomes
 // of its connection.
 func TestSentRequestIsNotSentAnotherWay(t *testing.T) {
--- a/internal/upstream/ended.go
+++ b/internal/upstream/ended.go
@@ -11,27 +11,46 @@
 // process that ends closes its connections and its port one after the other.
 const endedPause = 5 * time.Millisecond
 
-// HasEnded reports whether the process that listened at address, host:port, has ended:
-// its port refuses the connections that dial opens, at once or after a short pause. A port that accepts one
-// and closes it again tells nothing, as upstreams do so with connections beyond their
-// maximum. HasEnded returns false if no answer comes before ctx ends.
-func HasEnded(ctx context.Context, dial DialFunc, address string) bool {
-	if refuses, known := refusesConnections(ctx, dial, address); refuses || !known {
-		return refuses
+// PortState is what an attempt to connect shows of a port.
+type PortState uint8
+
+// States of ports.
+const (
+	PortSilent  PortState = iota // no answer came
+	PortAccepts                  // a process listens
+	PortRefuses                  // the process that listened has ended
+)
+
+// CheckPort returns the state of the port at address, host:port, that connections of
+// dial show until ctx ends. A port that accepts one is tried again after a short pause.
+func CheckPort(ctx context.Context, dial DialFunc, address string) PortState {
+	state := tryPort(ctx, dial, address)
+	if state != PortAccepts {
+		return state
 	}
 	time.Sleep(endedPause)
-	refuses, _ := refusesConnections(ctx, dial, address)
-	return refuses
+	if tryPort(ctx, dial, address) == PortRefuses {
+		return PortRefuses
+	}
+	return PortAccepts
 }
 
-// refusesConnections reports whether the port at address refuses connections; known is
-// false if no answer came.
-func refusesConnections(ctx context.Context, dial DialFunc, address string) (refuses, known bool) {
+// tryPort is CheckPort with one connection.
+func tryPort(ctx context.Context, dial DialFunc, address string) PortState {
 	conn, err := dial(ctx, "tcp", address)
-	if err != nil {
-		refuses = errors.Is(err, syscall.ECONNREFUSED)
-		return refuses, refuses
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return PortRefuses
+	case err != nil:
+		return PortSilent
 	}
 	_ = conn.Close()
-	return false, true
+	return PortAccepts
+}
+
+// HasEnded reports whether the process that listened at address has ended: its port
+// refuses connections. A port that accepts one and closes it again tells nothing, as
+// upstreams do so with connections beyond their maximum.
+func HasEnded(ctx context.Context, dial DialFunc, address string) bool {
+	return CheckPort(ctx, dial, address) == PortRefuses
 }
