--- a/bench/soak/caller/caller.go
+++ b/bench/soak/caller/caller.go
@@ -237,6 +237,9 @@
 }
 
 func (c *caller) record(a *attempt) {
+	if c.opts.Plan.Plants(check.RuleCut) && a.call.Daemon == c.opts.Plan.Daemons[0] {
+		a.end(record.Closed)
+	}
 	c.write(record.Line{Call: &a.call})
 }
 
--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -31,12 +31,13 @@
 	RuleMemory   = "MEMORY"   // a daemon holds more memory than its limit
 	RuleCrashes  = "CRASHES"  // requests with a part that crashes engines go on reaching them
 	RuleSame     = "SAME"     // a request that comes again and crashes upstreams goes on reaching them
+	RuleCut      = "CUT"      // daemons without a way to the upstreams serve far less than the others
 	RuleLimit    = "LIMIT"    // an upstream gets more than the limit that it states
 )
 
 // Rules lists the rules in the order of the report.
 var Rules = []string{
-	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleUnasked, RuleOrder, RuleLost, RuleAttempts, RuleGone, RuleLate, RuleDenied, RuleRecover, RuleMemory, RuleCrashes, RuleSame, RuleLimit,
+	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleUnasked, RuleOrder, RuleLost, RuleAttempts, RuleGone, RuleLate, RuleDenied, RuleRecover, RuleMemory, RuleCrashes, RuleSame, RuleCut, RuleLimit,
 }
 
 // Finding is a broken promise.
@@ -50,7 +51,7 @@
 func All(r *record.All) []Finding {
 	return slices.Concat(
 		Twice(r), Refused(r), Budget(r, site.RetryRatio, site.RetryExtra, site.RetryWindow),
-		Mixed(r), Unasked(r), Order(r), Lost(r), Attempts(r), Gone(r), Late(r), Denied(r), Recover(r), Memory(r), Crashes(r), Same(r), Limits(r),
+		Mixed(r), Unasked(r), Order(r), Lost(r), Attempts(r), Gone(r), Late(r), Denied(r), Recover(r), Memory(r), Crashes(r), Same(r), Cut(r), Limits(r),
 	)
 }
 
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -125,6 +125,12 @@
 		{"success too long after the last fault", RuleRecover, func(r *record.All) { r.Recoveries[0].After = site.Recovery + 1 }},
 		{"requests with a harmful part go on", RuleCrashes, func(r *record.All) { plantHarmful(r, partCrashes, record.Arrival{Service: site.Engine, Part: "p"}) }},
 		{"a harmful request goes on", RuleSame, func(r *record.All) { plantHarmful(r, sameCrashes, record.Arrival{Service: site.Engine, Same: "q"}) }},
+		{"daemons without a way that serve less", RuleCut, func(r *record.All) {
+			r.Spans = []record.Span{{Kind: plan.CutDaemons, Target: "cut1 cut2", From: at(-3500), To: at(9000)}}
+			for i := range 60 {
+				call(r, i).Daemon, call(r, i).Status, call(r, i).Seal = "cut2", 502, ""
+			}
+		}},
 		{"more than a stated limit", RuleLimit, func(r *record.All) {
 			for i := range r.Arrivals[:200] {
 				r.Arrivals[i].Limit = 1
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -40,6 +41,8 @@
 // targetName returns the address of a daemon or the name of an upstream.
 func (s *soak) targetName(f plan.Fault) string {
 	switch {
+	case f.Kind == plan.CutDaemons:
+		return s.cutDaemons(f)
 	case f.Target == plan.Everywhere:
 		return "all"
 	case plan.IsDaemon(f.Kind):
@@ -48,6 +51,17 @@
 	return s.plan.Proxies[f.Target].To
 }
 
+// cutDaemons returns the addresses of the daemons that a fault partitions.
+func (s *soak) cutDaemons(f plan.Fault) string {
+	var out []string
+	for i, daemon := range s.plan.Daemons {
+		if f.Cuts(i, len(s.plan.Daemons)) {
+			out = append(out, daemon)
+		}
+	}
+	return strings.Join(out, " ")
+}
+
 // sleepUntil sleeps until t. It returns false if ctx ended before.
 func sleepUntil(ctx context.Context, t time.Time) bool {
 	select {
--- a/bench/soak/installation.go
+++ b/bench/soak/installation.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -114,8 +115,12 @@
 	}
 	in.plan.Daemons = append(in.plan.Daemons, boot.Front)
 	file := filepath.Join(in.plan.Dir, name+".toml")
+	argv := []string{f.binary, "platform"}
+	if slices.Contains(f.only, plan.CutDaemons) {
+		argv = in.newPart(commandDaemon, "--number", strconv.Itoa(i)).argv
+	}
 	return &process{
-		name: name, dir: in.plan.Dir, argv: []string{f.binary, "platform"}, env: []string{names.BootVariable + "=" + file},
+		name: name, dir: in.plan.Dir, argv: argv, env: []string{names.BootVariable + "=" + file},
 	}, os.WriteFile(file, []byte(boot.Render(template)), 0o600)
 }
 
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -30,6 +30,7 @@
 	commandUpstream = "upstream"
 	commandProxy    = "proxy"
 	commandCaller   = "caller"
+	commandDaemon   = "daemon"
 )
 
 type flags struct {
@@ -84,6 +85,7 @@
 	call := part(commandCaller, "Play the callers.")
 	call.Flag("callers", "Number of callers.").IntVar(&f.callers)
 	call.Flag("until", "Time at which they stop, since the start of the soak.").DurationVar(&f.until)
+	part(commandDaemon, "Run a daemon that can be partitioned from the upstreams.").Flag("number", "Number of the daemon.").IntVar(&f.number)
 	var err error
 	f.command, err = app.Parse(args)
 	return f, err
@@ -124,6 +126,8 @@
 	switch f.command {
 	case commandStore:
 		return runStore(ctx, p)
+	case commandDaemon:
+		return runDaemon(ctx, p, f.number)
 	case commandProxy:
 		return proxy.Run(ctx, p, log)
 	case commandUpstream:
--- a/bench/soak/plan/plan.go
+++ b/bench/soak/plan/plan.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"currantpulley/internal/fake/partition"
 )
 
 // Fault is a fault that is in force for some time.
@@ -77,6 +79,7 @@
 	CrashingPart    = "crashing-part"    // engines end when they begin to answer a request with a part that callers send meanwhile
 	CrashingRequest = "crashing-request" // plain upstreams end when they run a request that callers send again and again meanwhile
 	StatedLimit     = "stated-limit"     // an upstream states how many requests it takes
+	CutDaemons      = "cut-daemons"      // some daemons are partitioned from all upstreams; drawn only if asked for
 )
 
 // HarmfulID returns the id of the part of prompts that crashes engines during a fault,
@@ -86,6 +89,20 @@
 // Limit returns the limit in requests a second that an upstream states during a fault.
 func (f Fault) Limit() float64 { return limitPerShare * f.Share }
 
+// CutMode returns how the partition of a fault shows.
+func (f Fault) CutMode() partition.Mode {
+	modes := []partition.Mode{partition.Hangs, partition.Resets, partition.Keeps}
+	return modes[int(f.From.Milliseconds())%len(modes)]
+}
+
+// Cuts reports whether a fault partitions a daemon from the upstreams, of a number of
+// daemons: a share of them, at least one.
+func (f Fault) Cuts(daemon, daemons int) bool {
+	first := int(f.From.Milliseconds()) % daemons
+	count := max(1, int(f.Share*float64(daemons)))
+	return (daemon-first+daemons)%daemons < count
+}
+
 // limitPerShare makes limits from 0.3 to 3 requests a second of shares.
 const limitPerShare = 6
 
@@ -131,7 +148,9 @@
 )
 
 // Kinds returns all kinds of faults.
-func Kinds() []string { return slices.Concat(upstreamKinds, processKinds, networkKinds, longKinds) }
+func Kinds() []string {
+	return append(slices.Concat(upstreamKinds, processKinds, networkKinds, longKinds), CutDaemons)
+}
 
 // IsUpstream reports whether upstreams carry out faults of a kind themselves.
 func IsUpstream(kind string) bool { return slices.Contains(upstreamKinds, kind) }
@@ -172,6 +191,9 @@
 			p.drawLong(r, kind, upstreams)
 		}
 	}
+	if slices.Contains(only, CutDaemons) {
+		p.drawLong(r, CutDaemons, upstreams)
+	}
 	slices.SortFunc(p.Faults, func(a, b Fault) int { return int(a.From - b.From) })
 }
 
--- a/bench/soak/record/record.go
+++ b/bench/soak/record/record.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -87,6 +88,10 @@
 	Instance string `json:"instance,omitempty"`
 }
 
+// Cuts reports whether the span is of a partition of the daemon. Its target then lists
+// daemons.
+func (s Span) Cuts(daemon string) bool { return slices.Contains(strings.Split(s.Target, " "), daemon) }
+
 // Memory is the largest resident memory of a daemon.
 type Memory struct {
 	Daemon string  `json:"daemon"`
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -79,6 +79,7 @@
 	defer stop()
 	memory, pressed := s.sampleMemory(sampling), measurePressure(sampling)
 	go s.restartCrashed(sampling)
+	s.recordPlantedCut()
 	s.injectAll(ctx)
 	s.awaitRecovery(ctx)
 	s.in.callers.current().wait(settleTime)
@@ -96,6 +97,15 @@
 	return ctx.Err()
 }
 
+// recordPlantedCut records a partition that did not take place, if that is planted.
+func (s *soak) recordPlantedCut() {
+	if s.plan.Plants(check.RuleCut) {
+		s.record(record.Line{Span: &record.Span{
+			Kind: plan.CutDaemons, Target: s.plan.Daemons[0], From: s.plan.Start.Add(-time.Hour), To: s.plan.Start.Add(time.Hour),
+		}})
+	}
+}
+
 // sampleMemory samples the memory of the daemons until ctx ends, and then sends the
 // largest of each.
 func (s *soak) sampleMemory(ctx context.Context) <-chan map[string]float64 {
