Keep connections to upstreams that are silent for a second

Change: 1.6 s. A connection without bytes under way then ends after 2 s, at the second probe (Go rounds the interval up to whole seconds; the constant now says so), before callers give up a stream after 2.4 s.

Conclusion: requests to an upstream that is gone fail 0.6 s later.

--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -15,10 +15,12 @@
 	dialTimeout = 500 * time.Millisecond
 	// unackedTimeout closes a connection whose peer acknowledges no data, for
 	// example after a power loss. Without it the kernel retransmits for about 15
-	// minutes.
-	unackedTimeout    = time.Second
+	// minutes. It is longer than sound upstreams fall silent, and ends with the silence of
+	// one that is gone before callers give up a stream. With it, the kernel ignores
+	// the number of keep-alive probes.
+	unackedTimeout    = 1600 * time.Millisecond
 	keepAliveIdle     = time.Second // idle time before the first keep-alive probe
-	keepAliveInterval = 500 * time.Millisecond
+	keepAliveInterval = time.Second // the kernel counts seconds
 	keepAliveCount    = 2
 	idlePerUpstream   = 64
 	idleConnTimeout   = 30 * time.Second
