Share one check of the ways to an upstream

Cause: each connection that breaks starts a check of both ways, and an engine that ends breaks dozens at once: as many calls to other daemons, at every daemon. Found on rereading. The idle tunnels of a cut that has ended stayed open for 30 s at the upstreams, which count connections.

Change: checks of one upstream at the same time are one; the end of a cut closes idle tunnels.

Before: TestBrokenConnectionsShareOneCheck fails, 50 connections for 50 broken ones. After: it passes.

--- a/internal/detour/transport.go
+++ b/internal/detour/transport.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"currantpulley/internal/control/tunnel"
 	"currantpulley/internal/event"
 	"currantpulley/internal/freshness"
@@ -54,7 +56,8 @@
 	table   *Table
 	own     *http.Transport
 	peers   *http.Transport
-	silence silence // of own connections
+	silence silence            // of own connections
+	checks  singleflight.Group // of upstreams, by address
 }
 
 // New returns a Transport. Run must be called, too.
@@ -109,20 +112,22 @@
 	if err == nil || !broken || !t.opts.Carriers.HasCarriers() {
 		return
 	}
-	go t.compareSoon(context.Background(), req.URL.Host)
+	go t.compare(context.Background(), req.URL.Host)
 }
 
-// compareSoon tries the own way to an upstream and, if that fails, that through others.
-// The table has the results.
-func (t *Transport) compareSoon(ctx context.Context, address string) {
-	ctx, cancel := context.WithTimeout(ctx, ownPatience+peersPatience)
-	defer cancel()
-	for _, dial := range []upstream.DialFunc{t.dialOwn, t.dialPeers} {
-		if conn, err := dial(ctx, "tcp", address); err == nil {
-			_ = conn.Close()
-			return
+// compare tries the own way to an upstream and, if that fails, that through others. The
+// table has the results. Calls for one upstream at the same time share one check.
+func (t *Transport) compare(ctx context.Context, address string) {
+	_, _, _ = t.checks.Do(address, func() (any, error) {
+		ctx, cancel := context.WithTimeout(ctx, ownPatience+peersPatience)
+		defer cancel()
+		for _, dial := range []upstream.DialFunc{t.dialOwn, t.dialPeers} {
+			if conn, err := dial(ctx, "tcp", address); err == nil {
+				return nil, conn.Close()
+			}
 		}
-	}
+		return nil, nil
+	})
 }
 
 // dialOwn opens an own connection.
@@ -139,6 +144,7 @@
 	}
 	conn = &watchedConn{Conn: conn, address: address, silence: &t.silence}
 	if t.table.OwnWorked(address, freshness.Time()) {
+		t.peers.CloseIdleConnections()
 		t.opts.Recorder.Record(event.Event{ID: event.UpstreamsRegained, Step: "connect", Peer: address})
 	}
 	return conn, nil
@@ -225,6 +231,6 @@
 		return
 	}
 	for _, address := range t.silence.suspects(freshness.Time()) {
-		go t.compareSoon(ctx, address)
+		go t.compare(ctx, address)
 	}
 }
--- a/internal/detour/transport_test.go
+++ b/internal/detour/transport_test.go
@@ -208,6 +208,25 @@
 	}
 }
 
+// Guards against as many checks of an upstream as connections to it broke at once.
+func TestBrokenConnectionsShareOneCheck(t *testing.T) {
+	f := newFixture(t)
+	var arrivals atomic.Int64
+	s := newEcho(t, &arrivals)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, s.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const broken = 50
+	for range broken {
+		f.suspect(req, syscall.ECONNRESET)
+	}
+	time.Sleep(ownPatience)
+	if n := f.owns.Load(); n == 0 || n > broken/5 {
+		t.Errorf("%d connections to check one upstream", n)
+	}
+}
+
 // The silence of all own connections must be found out before they time out.
 func TestSilentConnectionsAreChecked(t *testing.T) {
 	f := newFixture(t)
