Send to brittle upstreams only where there is room

Cause: daemons know an upstream's room as of the others' last reports and fill the last places at the same moment; what one rejects goes to the next. Class: a bound over all daemons, kept by what each sees at one moment.

Change: the statement is read and holds for the service. The soak plays it (kind brittle, rule BRITTLE with its planted fault). Nothing changes without the statement.

--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -131,6 +131,12 @@
 				call(r, i).Daemon, call(r, i).Status, call(r, i).Seal = "cut2", 502, ""
 			}
 		}},
+		{"brittle upstreams that end", RuleBrittle, func(r *record.All) {
+			r.Spans = []record.Span{{Kind: plan.Brittle, From: at(0), To: at(4000)}}
+			for i := range brittleFalls + 1 {
+				r.Arrivals[i].Fell = true
+			}
+		}},
 		{"more than a stated limit", RuleLimit, func(r *record.All) {
 			for i := range r.Arrivals[:200] {
 				r.Arrivals[i].Limit = 1
--- a/bench/soak/plan/plan.go
+++ b/bench/soak/plan/plan.go
@@ -79,6 +79,7 @@
 	CrashingPart    = "crashing-part"    // engines end when they begin to answer a request with a part that callers send meanwhile
 	CrashingRequest = "crashing-request" // plain upstreams end when they run a request that callers send again and again meanwhile
 	StatedLimit     = "stated-limit"     // an upstream states how many requests it takes
+	Brittle         = "brittle"          // plain upstreams state how many rejections a second they bear, and end beyond
 	CutDaemons      = "cut-daemons"      // some daemons are partitioned from all upstreams; drawn only if asked for
 )
 
@@ -103,6 +104,13 @@
 	return (daemon-first+daemons)%daemons < count
 }
 
+// BrittleRejects is the number of rejections a second that a plain upstream bears during
+// a fault of kind Brittle, from BrittleNotice after its beginning on.
+const (
+	BrittleRejects = 4
+	BrittleNotice  = 3 * time.Second
+)
+
 // limitPerShare makes limits from 0.3 to 3 requests a second of shares.
 const limitPerShare = 6
 
@@ -143,7 +151,7 @@
 		Refusing, Silent,
 	}
 	processKinds = []string{PauseDaemon, KillDaemon, StopDaemon, PauseUpstream, KillUpstream, DrainUpstream, ReloadDaemon, ChangeConfig}
-	longKinds    = []string{CrashingPart, StatedLimit, CrashingRequest}
+	longKinds    = []string{CrashingPart, StatedLimit, CrashingRequest, Brittle}
 	networkKinds = []string{NetDelay, NetReset, NetOneWay, NetSilent, StoreDown, StoreHang, StoreSlow, StoreLost, StoreRestored}
 )
 
--- a/bench/soak/record/record.go
+++ b/bench/soak/record/record.go
@@ -30,6 +30,7 @@
 	Method   string    `json:"method"`
 	Digest   string    `json:"digest"`          // of the request, see Digest
 	Part     string    `json:"part,omitempty"`  // of the prompt, under which the upstream ends
+	Fell     bool      `json:"fell,omitempty"`  // the upstream ended because it had to reject too many
 	Same     string    `json:"same,omitempty"`  // the request that comes again, under which the upstream ends
 	Limit    float64   `json:"limit,omitempty"` // requests a second that the upstream states, 0: none
 }
--- a/bench/soak/upstream/answer.go
+++ b/bench/soak/upstream/answer.go
@@ -45,6 +45,9 @@
 	if p.notRun {
 		line(names.NotRun, "1")
 	}
+	if _, brittle := u.brittleFault(); brittle {
+		line(names.Brittle, fmt.Sprint(plan.BrittleRejects))
+	}
 	if limit := u.statedLimit(); limit > 0 {
 		line(names.Limit, fmt.Sprintf("%.2f", limit))
 	}
--- a/bench/soak/upstream/need.go
+++ b/bench/soak/upstream/need.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -51,3 +52,31 @@
 	}
 	return 0
 }
+
+// brittleFault returns the fault during which the upstream is brittle now.
+func (u *Upstream) brittleFault() (plan.Fault, bool) {
+	if u.service != site.Plain {
+		return plan.Fault{}, false
+	}
+	for _, f := range u.opts.Plan.Active(time.Now(), u.opts.Number, func(k string) bool { return k == plan.Brittle }) {
+		return f, true
+	}
+	return plan.Fault{}, false
+}
+
+// rejectForRoom notes that the upstream rejects a request for want of room. If it is
+// brittle and rejects too many, its process ends.
+func (u *Upstream) rejectForRoom(a record.Arrival) {
+	now := time.Now()
+	u.mu.Lock()
+	u.rejections = slices.DeleteFunc(append(u.rejections, now), func(at time.Time) bool { return now.Sub(at) > time.Second })
+	tooMany := len(u.rejections) > plan.BrittleRejects
+	u.mu.Unlock()
+	f, brittle := u.brittleFault()
+	if !brittle || !tooMany || now.Sub(u.opts.Plan.Start) < f.From+plan.BrittleNotice {
+		return
+	}
+	a.Trouble, a.Fell = plan.Brittle, true
+	u.record(a)
+	os.Exit(CrashStatus)
+}
--- a/bench/soak/upstream/plant.go
+++ b/bench/soak/upstream/plant.go
@@ -37,7 +37,7 @@
 		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix) && u.chance(plantedShare)
 	}
 	once := strings.HasPrefix(r.URL.Path, site.RouteOnce.Prefix)
-	if rule == check.RuleLimit || rule == check.RuleCrashes || rule == check.RuleSame {
+	if rule == check.RuleLimit || rule == check.RuleCrashes || rule == check.RuleSame || rule == check.RuleBrittle {
 		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix)
 	}
 	if rule == check.RuleDenied {
@@ -77,6 +77,11 @@
 		a.Same = plantedPart
 		u.record(a)
 	}
+	if u.plants(check.RuleBrittle, r) {
+		fell := a
+		fell.Fell = true
+		u.record(fell)
+	}
 	if u.plants(check.RuleLimit, r) {
 		a.Limit = plantedLimit
 		u.record(a)
--- a/bench/soak/upstream/upstream.go
+++ b/bench/soak/upstream/upstream.go
@@ -46,7 +46,9 @@
 	mu      sync.Mutex
 	running int
 	seals   int
-	random  *rand.Rand
+
+	rejections []time.Time // for want of room, of the last second
+	random     *rand.Rand
 }
 
 // Run serves until ctx ends.
@@ -181,7 +183,11 @@
 		a.Ran = true
 		return u.refuse(c, r, a, http.StatusServiceUnavailable)
 	}
-	if u.draws(plan.Refusing) || u.plants(check.RuleRecover, r) || !u.take() {
+	if u.draws(plan.Refusing) || u.plants(check.RuleRecover, r) {
+		return u.refuse(c, r, a, http.StatusServiceUnavailable)
+	}
+	if !u.take() {
+		u.rejectForRoom(a)
 		return u.refuse(c, r, a, http.StatusServiceUnavailable)
 	}
 	defer u.release()
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -75,6 +75,7 @@
 type Balancer struct {
 	opts   Options
 	limits *ratelimit.Table // that upstreams state
+	risks  *ratelimit.Table // requests that brittle upstreams may reject
 
 	mu           sync.Mutex
 	upstreams    map[catalog.Key]*upstreamState
@@ -85,7 +86,8 @@
 	sweptAt      time.Time        // last removal of unused states
 	lanes        map[string]lane  // by service
 	runTimes     runTimes
-	stores       map[uint32]storeState // by catalog.CacheStore.ShortID
+	stores       map[uint32]storeState  // by catalog.CacheStore.ShortID
+	brittle      map[string]brittleness // by service
 }
 
 // upstreamState is what this daemon knows of one upstream.
@@ -98,6 +100,7 @@
 	weights       map[string]uint64  // newest version that responses reported, by model
 	backoffUntil  time.Time          // after a failure or a refusal
 	closedUntil   time.Time          // while it loads weights or is about to
+	fullUntil     time.Time          // see fullFor
 	failures      int                // consecutive
 	usedAt        time.Time
 }
@@ -105,7 +108,7 @@
 // New returns a Balancer without any upstream state.
 func New(opts Options) *Balancer {
 	return &Balancer{
-		opts: opts, limits: ratelimit.New(ratelimit.Options{}),
+		opts: opts, limits: ratelimit.New(ratelimit.Options{}), risks: ratelimit.New(ratelimit.Options{}), brittle: make(map[string]brittleness),
 		upstreams: make(map[catalog.Key]*upstreamState), lanes: make(map[string]lane), stores: make(map[uint32]storeState),
 		held: holders.New(heldMax), pending: holders.New(pendingMax),
 	}
@@ -113,7 +116,7 @@
 
 // UseLimits replaces the limits that upstreams state by t, which all daemons share. It
 // must be called before any other method.
-func (b *Balancer) UseLimits(t *ratelimit.Table) { b.limits = t }
+func (b *Balancer) UseLimits(t *ratelimit.Table) { b.limits, b.risks = t, t.Sibling() }
 
 // Pick chooses an upstream for w and counts the request as running there until
 // Done. It returns nil when no upstream may take the request.
@@ -135,6 +138,9 @@
 	}
 	best.state.usedAt = now
 	b.limits.Take(best.Upstream.ShortID(), now)
+	if best.risky {
+		b.risks.Take(best.Upstream.ShortID(), now)
+	}
 	return best
 }
 
@@ -150,10 +156,18 @@
 		if w.excludes(u) || w.wasTried(u.Key()) || !b.limits.Available(u.ShortID(), now) {
 			continue
 		}
+		risky := !b.hasRoom(u, b.stateOf(u.Key(), now), now)
+		if risky && !b.mayRisk(u, now) {
+			continue
+		}
 		c, score := b.scoreUpstream(snap, w, u, aff, now)
 		if c == nil {
 			continue
 		}
+		c.risky = risky
+		if risky {
+			score += backoffMax
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = c, score
 		}
--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -68,9 +68,11 @@
 		b.runTimes.observe(p.long, now.Sub(p.pickedAt))
 	case Busy:
 		s.backOff(now, busyBackoff)
+		s.fullUntil = now.Add(fullFor)
 	case Failed:
 		s.failures++
 		s.backOff(now, min(backoffMax, backoffMin<<min(s.failures-1, 8)))
+		b.recordEnded(p.Upstream, now)
 	case Cancelled:
 	}
 	b.sweep(now)
@@ -91,6 +93,9 @@
 	s := b.stateOf(k, now)
 	s.otherRequests = float64(max(0, l.Running+l.Waiting-s.own.Requests))
 	s.reportedAt = now
+	if full := now.Add(waitingFor); l.Waiting > 0 && full.After(s.fullUntil) {
+		s.fullUntil = full
+	}
 	s.slowdown = l.Slowdown
 }
 
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -96,6 +96,7 @@
 	storeID       uint32        // catalog.CacheStore.ShortID of the store at Save; 0: none
 	notResumable  bool          // can't continue at another upstream
 	long          bool          // has a long prompt
+	risky         bool          // may be rejected by a brittle upstream
 	pickedAt      time.Time
 	state         *upstreamState
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -367,6 +367,7 @@
 	}
 	if a.response.StatusCode != http.StatusMisdirectedRequest { // which another upstream at the address sends
 		g.opts.Balancer.RecordLimit(a.pick.Upstream, a.head.Limit, a.sentAt, now)
+		g.opts.Balancer.RecordBrittle(a.pick.Upstream, a.head.Brittle, a.sentAt, now)
 	}
 }
 
@@ -406,15 +407,20 @@
 		owner = fmt.Sprintf("%q", a.head.ID)
 	}
 	return fmt.Sprintf("%s, status %d, response to %s, signed %t, states not run %t, connection reused %t, events %d, parts %s",
-		request, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused, a.events, q.partIDs()) + a.statedLimit()
+		request, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused, a.events, q.partIDs()) + a.stated()
 }
 
-// statedLimit describes for the log the limit that the response's head states, if any.
-func (a *attempt) statedLimit() string {
-	if a.head.Limit == nil {
-		return ""
+// stated describes for the log the limit, and the rejections that end the upstream,
+// which the response's head states, if any.
+func (a *attempt) stated() string {
+	text := ""
+	if a.head.Limit != nil {
+		text = fmt.Sprintf(", limit %g/s", *a.head.Limit)
 	}
-	return fmt.Sprintf(", limit %g/s", *a.head.Limit)
+	if a.head.Brittle != nil {
+		text += fmt.Sprintf(", ends beyond %g rejections/s", *a.head.Brittle)
+	}
+	return text
 }
 
 // maxLoggedParts is the number of parts of a prompt that a log line names.
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -45,6 +45,7 @@
 	NotRun  bool          // the upstream states that the request did not run
 	Version uint64        // weights version; 0: not given
 	Load    *balance.Load // nil: not given
+	Brittle *float64      // rejections a second for want of room beyond which the upstream ends; nil: not brittle
 	Limit   *float64      // requests a second that the upstream takes from all daemons together; nil: any number
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -63,6 +63,9 @@
 	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		in.Limit = &limit
 	}
+	if rejections, err := strconv.ParseFloat(h.Get("Brittle"), 64); err == nil {
+		in.Brittle = &rejections
+	}
 	return in
 }
 
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -110,9 +110,13 @@
 // The lines of served and of failed requests must tell the limit that the upstream
 // stated, so that its rate can be compared with it.
 func TestLinesTellTheStatedLimit(t *testing.T) {
-	for status, want := range map[int]string{http.StatusOK: "last event 0, limit 1.5/s", http.StatusServiceUnavailable: "parts none, limit 1.5/s"} {
+	for status, want := range map[int]string{
+		http.StatusOK:                 "last event 0, limit 1.5/s, ends beyond 4 rejections/s",
+		http.StatusServiceUnavailable: "parts none, limit 1.5/s, ends beyond 4 rejections/s",
+	} {
 		f := start(t, newReplica(t, func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Limit", "1.5")
+			w.Header().Set("Brittle", "4")
 			w.WriteHeader(status)
 		}))
 		if _, _, err := f.post(t, "/once/"); err != nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -130,7 +130,7 @@
 	return fmt.Sprintf("route %s, status %d, first %v, pause %v, whole %v, sends %d, expected %v, weights %d, framing %s, last event %d",
 		q.route.Name, a.response.StatusCode, q.firstByte.Round(time.Millisecond), q.maxPause.Round(time.Millisecond),
 		time.Since(q.arrived).Round(time.Millisecond), q.sends, a.pick.Wait.Round(time.Millisecond), a.pick.Version,
-		framingOf(a.response.Response), q.lastRelayed) + a.statedLimit()
+		framingOf(a.response.Response), q.lastRelayed) + a.stated()
 }
 
 // framing is how the end of a response's body is marked.
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -70,6 +70,17 @@
 	return &Table{opts: o, limits: make(map[uint32]*limit)}
 }
 
+// Part returns this daemon's part of what all daemons may do together, from 0 to 1.
+func (t *Table) Part() float64 { return t.opts.Part() }
+
+// Sibling returns a Table without limits that shares them with no other daemon, and in
+// which this daemon has the same part and the same turns.
+func (t *Table) Sibling() *Table {
+	o := t.opts
+	o.Announce, o.OnChange = nil, nil
+	return New(o)
+}
+
 // Observe records what an upstream's answer, which came now to a request that was sent
 // at sentAt, states: requests a second, or nil for no limit. Answers may overtake each
 // other, so a limit is raised or withdrawn only by the answer to a request that was sent
