--- a/internal/upstream/broken_test.go
+++ b/internal/upstream/broken_test.go
@@ -18,8 +18,7 @@
 	t.Helper()
 	var mu sync.Mutex
 	requests := make(map[net.Conn]int)
-	var s *httptest.Server
-	s = httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	s.Config.ConnState = func(c net.Conn, state http.ConnState) {
 		if state != http.StateActive {
 			return
