Send nothing to upstreams that leave or asked for a pause

Cause: no response header of an upstream about further requests was read. Leaving was known from the registry only, and a rejection kept work away for 200 ms, as a preference.

Change: internal/holdoff has, for each run of an upstream, that it leaves (for good) or until when it wants nothing; the adapter decodes both headers once, the gateway believes them of responses whose request id is its own and whose status is not 421. In balance one filter says why an upstream may not get a request (leaving, other build, paused, at its limit, tried, full), in place of conditions in two loops; the refusal's log line has the counts and its Retry-After the first end of a pause. To an upstream a carried request comes from the carrier: that one is told, declines connections by what it knows, and a carried connection serves one request, so that this binds each of them. The others are not told that an upstream leaves: each daemon learns it from its first answer, which the upstream still serves.

Two refusals are needed now.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"currantpulley/internal/catalog"
+	"currantpulley/internal/holdoff"
 	"currantpulley/internal/placement/holders"
 	"currantpulley/internal/ratelimit"
 	"currantpulley/internal/rendezvous"
@@ -65,17 +66,19 @@
 
 // Options configures a Balancer.
 type Options struct {
-	DataCentre      string        // of this daemon
-	StaleWeightsMax time.Duration // time since a newer version was announced after which older weights get no work; 0: never
+	DataCentre      string               // of this daemon
+	StaleWeightsMax time.Duration        // time since a newer version was announced after which older weights get no work; 0: never
+	OnHoldoff       func(holdoff.Change) // called when an upstream asks for no requests; nil: not called
 }
 
 // Balancer chooses upstreams by what this daemon has learned of their load,
 // their weights and the prompt parts that they hold. It is safe for concurrent
 // use.
 type Balancer struct {
-	opts   Options
-	limits *ratelimit.Table // that upstreams state
-	risks  *ratelimit.Table // requests that brittle upstreams may reject
+	opts     Options
+	limits   *ratelimit.Table // that upstreams state
+	risks    *ratelimit.Table // requests that brittle upstreams may reject
+	holdoffs *holdoff.Table   // upstreams that asked for no requests
 
 	mu           sync.Mutex
 	upstreams    map[catalog.Key]*upstreamState
@@ -108,7 +111,7 @@
 // New returns a Balancer without any upstream state.
 func New(opts Options) *Balancer {
 	return &Balancer{
-		opts: opts, limits: ratelimit.New(ratelimit.Options{}), risks: ratelimit.New(ratelimit.Options{}), brittle: make(map[string]brittleness),
+		opts: opts, holdoffs: holdoff.New(opts.OnHoldoff), limits: ratelimit.New(ratelimit.Options{}), risks: ratelimit.New(ratelimit.Options{}), brittle: make(map[string]brittleness),
 		upstreams: make(map[catalog.Key]*upstreamState), lanes: make(map[string]lane), stores: make(map[uint32]storeState),
 		held: holders.New(heldMax), pending: holders.New(pendingMax),
 	}
@@ -145,19 +148,15 @@
 }
 
 // choose returns the candidate with the lowest score, or nil. An upstream that
-// is closed or in backoff is chosen only when all are, one whose limit is used up
-// never.
+// is closed or in backoff is chosen only when all are, one that filter bars never.
 func (b *Balancer) choose(snap *catalog.Snapshot, w *Work, now time.Time) *Pick {
 	var best *Pick
 	var bestScore time.Duration
 	all := snap.UpstreamsOf(w.Service)
 	aff := b.affinity(snap, all, w, now)
 	for _, u := range all {
-		if w.excludes(u) || w.wasTried(u.Key()) || !b.limits.Available(u.ShortID(), now) {
-			continue
-		}
-		risky := !b.hasRoom(u, b.stateOf(u.Key(), now), now)
-		if risky && !b.mayRisk(u, now) {
+		bar, _, risky := b.filter(w, u, b.stateOf(u.Key(), now), now)
+		if bar != NoBar {
 			continue
 		}
 		c, score := b.scoreUpstream(snap, w, u, aff, now)
@@ -200,7 +199,10 @@
 	var most uint64
 	for _, u := range all {
 		s := b.stateOf(u.Key(), now)
-		if w.excludes(u) || s.unavailableFor(now) > 0 || !b.limits.Available(u.ShortID(), now) || a.short[u.ID] == w.Prompt.long() {
+		if s.unavailableFor(now) > 0 || a.short[u.ID] == w.Prompt.long() {
+			continue
+		}
+		if bar, _ := b.barFor(w, u, now); bar != NoBar {
 			continue
 		}
 		if weight := rendezvous.Weight(rendezvous.Hash(u.ID), key); a.owner == nil || weight > most {
--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"currantpulley/internal/catalog"
+	"currantpulley/internal/holdoff"
 )
 
 // Began records that the answer to p's request began: its prompt is computed, and
@@ -117,6 +118,22 @@
 	b.limits.Observe(u.ShortID(), rate, sentAt, now)
 }
 
+// RecordHoldoff records that an upstream asked for no requests.
+func (b *Balancer) RecordHoldoff(n holdoff.Notice, now time.Time) { b.holdoffs.Record(n, now) }
+
+// MalformedPause records that an upstream asked for a pause that can't be understood,
+// and reports whether it did so for the first time.
+func (b *Balancer) MalformedPause(k catalog.Key) (first bool) {
+	return b.holdoffs.Malformed(k.ShortID())
+}
+
+// MaySend reports whether an upstream may get requests of this daemon, and of others
+// through it: it did not ask for a pause and does not shut down.
+func (b *Balancer) MaySend(u *catalog.Upstream, now time.Time) bool {
+	state, _ := b.holdoffs.State(u.ShortID(), now)
+	return !u.Leaving && state == holdoff.Open
+}
+
 // Limited returns the number of upstreams that state a limit.
 func (b *Balancer) Limited() int { return b.limits.Limited() }
 
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -58,11 +58,6 @@
 	Build     catalog.Build // of the upstreams that may run it; 0: any
 }
 
-// excludes reports whether u may not run w: it is leaving or runs another build.
-func (w *Work) excludes(u *catalog.Upstream) bool {
-	return u.Leaving || (w.Build != 0 && u.Build() != w.Build)
-}
-
 func (w *Work) wasTried(k catalog.Key) bool {
 	for _, t := range w.Tried {
 		if t == k {
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -18,7 +18,7 @@
 	Weights   map[string]WeightsTarget // by model
 	byService map[string][]*Upstream
 	byShortID map[uint32]*Upstream
-	addresses map[string]bool
+	addresses map[string][]*Upstream
 }
 
 // UpstreamsOf returns the upstreams of a service, sorted by id and including
@@ -29,8 +29,9 @@
 // is none.
 func (s *Snapshot) ByShortID(shortID uint32) *Upstream { return s.byShortID[shortID] }
 
-// HasAddress reports whether an upstream has the address, host:port.
-func (s *Snapshot) HasAddress(address string) bool { return s.addresses[address] }
+// AtAddress returns the upstreams that have the address, host:port. There may be two
+// after one has ended and another took over its address.
+func (s *Snapshot) AtAddress(address string) []*Upstream { return s.addresses[address] }
 
 // Watcher applies updates from providers to the current snapshot and tells
 // readers of changes. It is safe for concurrent use.
@@ -160,9 +161,9 @@
 func (s *Snapshot) index() {
 	s.byService = make(map[string][]*Upstream)
 	s.byShortID = make(map[uint32]*Upstream, len(s.Upstreams))
-	s.addresses = make(map[string]bool, len(s.Upstreams))
+	s.addresses = make(map[string][]*Upstream, len(s.Upstreams))
 	for _, u := range s.Upstreams {
-		s.addresses[u.Address] = true
+		s.addresses[u.Address] = append(s.addresses[u.Address], u)
 		s.byShortID[u.ShortID()] = u
 		s.byService[u.Service] = append(s.byService[u.Service], u)
 	}
--- a/internal/control/peers/tunnel.go
+++ b/internal/control/peers/tunnel.go
@@ -1,11 +1,14 @@
 package peers
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"currantpulley/internal/catalog"
 	"currantpulley/internal/control/tunnel"
 	"currantpulley/internal/freshness"
+	"currantpulley/internal/holdoff"
 )
 
 // cutOffs knows which other daemons said that they reach no upstreams themselves. It is
@@ -38,7 +41,10 @@
 
 // newTunnels returns both ends of the connections that daemons carry for each other.
 func (p *Peers) newTunnels() (*tunnel.Server, *tunnel.Client) {
-	server := tunnel.NewServer(tunnel.ServerOptions{Dial: p.opts.Dial, Known: p.hasUpstreamAt, CutOff: p.opts.CutOff})
+	server := tunnel.NewServer(tunnel.ServerOptions{
+		Dial: p.opts.Dial, Known: p.hasUpstreamAt, CutOff: p.opts.CutOff, MaySend: p.maySendTo,
+		OnHoldoff: func(n holdoff.Notice) { p.opts.Balancer.RecordHoldoff(n, freshness.Time()) },
+	})
 	client := tunnel.NewClient(tunnel.ClientOptions{
 		Pool: p.pool, Self: p.opts.Settings.VM, DataCentre: p.opts.Settings.DataCentre, View: p.View, CutOff: p.cutOffs.has,
 	})
@@ -47,7 +53,15 @@
 
 // hasUpstreamAt reports whether an upstream has the address.
 func (p *Peers) hasUpstreamAt(address string) bool {
-	return p.opts.Watcher.Load().HasAddress(address)
+	return len(p.opts.Watcher.Load().AtAddress(address)) > 0
+}
+
+// maySendTo reports whether an upstream at the address takes requests of this daemon.
+func (p *Peers) maySendTo(address string) bool {
+	now := freshness.Time()
+	return slices.ContainsFunc(p.opts.Watcher.Load().AtAddress(address), func(u *catalog.Upstream) bool {
+		return p.opts.Balancer.MaySend(u, now)
+	})
 }
 
 // Tunnels returns the client of connections through other daemons.
--- a/internal/control/tunnel/client.go
+++ b/internal/control/tunnel/client.go
@@ -29,6 +29,9 @@
 	hedgeDelay = 60 * time.Millisecond
 	// maxAsked is the number of daemons that are asked for one connection.
 	maxAsked = 3
+	// refusalQuorum is the number of daemons whose connections must be refused until an
+	// upstream counts as ended. A single one may be partitioned from it.
+	refusalQuorum = 2
 )
 
 // ClientOptions configures a Client. All fields are required.
@@ -63,7 +66,8 @@
 }
 
 // Dial opens a connection to the upstream at address through another daemon. It asks
-// a second and a third one if the first does not answer soon or can't.
+// a second and a third one if the first does not answer soon or can't. Its error wraps
+// ErrRefused if refusalQuorum of them, or all if there are fewer, were refused.
 func (c *Client) Dial(ctx context.Context, address string) (*Conn, error) {
 	carriers := order(c.carriers(), c.opts.DataCentre)
 	if len(carriers) == 0 {
@@ -83,6 +87,7 @@
 	}
 	ask()
 	errs := []error{ErrNoCarrier}
+	refusals := 0
 	for pending > 0 {
 		var hedge <-chan time.Time
 		if asked < len(carriers) {
@@ -94,7 +99,10 @@
 			continue
 		case r := <-results:
 			pending--
-			if r.err == nil || errors.Is(r.err, ErrRefused) {
+			if errors.Is(r.err, ErrRefused) {
+				refusals++
+			}
+			if r.err == nil || refusals >= refusalQuorum {
 				go closeRest(results, pending)
 				return r.conn, r.err
 			}
@@ -172,7 +180,7 @@
 		cancel()
 		return nil, failure.At("open a tunnel", vm.Name, fmt.Errorf("to %s: %w", address, err))
 	}
-	conn := &Conn{stream: stream, cancel: cancel, vm: vm.Name, address: address, client: c}
+	conn := &Conn{stream: stream, cancel: cancel, vm: vm.Name, peer: vm.PeerAddress, address: address, client: c}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns[conn] = true
--- a/internal/control/tunnel/conn.go
+++ b/internal/control/tunnel/conn.go
@@ -14,6 +14,8 @@
 	"google.golang.org/grpc/status"
 
 	"currantpulley/internal/control/tunnel/tunnelpb"
+	"currantpulley/internal/failure"
+	"currantpulley/internal/holdoff"
 )
 
 // Conn is a connection to an upstream through another daemon. It implements net.Conn
@@ -23,6 +25,7 @@
 	cancel  context.CancelFunc
 	client  *Client
 	vm      string // the daemon that carries it
+	peer    string // address of that daemon
 	address string // of the upstream
 	unread  []byte // received and not read yet
 }
@@ -68,6 +71,21 @@
 	return nil
 }
 
+// Tell passes on to the daemon that carries the connection what the upstream asked for
+// in a response: to the upstream, the request came from that daemon.
+func (c *Conn) Tell(ctx context.Context, n holdoff.Notice) error {
+	cc, err := c.client.opts.Pool.Conn(c.peer)
+	if err == nil {
+		_, err = tunnelpb.NewTunnelClient(cc).Tell(ctx, &tunnelpb.Holdoff{
+			Upstream: n.Upstream, Leaving: n.Leaving, PauseMs: uint32(min(n.Pause, holdoff.MaxPause).Milliseconds()),
+		})
+	}
+	if err != nil {
+		return failure.At("tell the carrier", c.vm, err)
+	}
+	return nil
+}
+
 // peerAddr is the address of an end of a tunnel.
 type peerAddr string
 
--- a/internal/control/tunnel/tunnel.go
+++ b/internal/control/tunnel/tunnel.go
@@ -1,7 +1,8 @@
 // Package tunnel carries connections to upstreams through other daemons, for a daemon
 // that is partitioned from the upstreams. The called daemon passes on bytes and
 // connects only to upstreams that it knows, directly: a connection never goes through
-// two tunnels. What a request means is left to the calling daemon.
+// two tunnels. What a request means is left to the calling daemon, which tells the called
+// one what the upstream asked for in its response.
 package tunnel
 
 import (
@@ -18,6 +19,7 @@
 	"google.golang.org/grpc/status"
 
 	"currantpulley/internal/control/tunnel/tunnelpb"
+	"currantpulley/internal/holdoff"
 	"currantpulley/internal/upstream"
 )
 
@@ -32,9 +34,11 @@
 
 // ServerOptions configures a Server. All fields are required.
 type ServerOptions struct {
-	Dial   upstream.DialFunc
-	Known  func(address string) bool // reports whether an upstream has the address
-	CutOff func() bool               // reports whether this daemon reaches no upstreams itself
+	Dial      upstream.DialFunc
+	Known     func(address string) bool // reports whether an upstream has the address
+	MaySend   func(address string) bool // reports whether the upstream takes requests of this daemon
+	OnHoldoff func(holdoff.Notice)      // called with what an upstream asked for in a response that this daemon carried
+	CutOff    func() bool               // reports whether this daemon reaches no upstreams itself
 }
 
 // Server carries connections for other daemons.
@@ -66,6 +70,9 @@
 	if !s.opts.Known(first.GetAddress()) {
 		return status.Error(codes.NotFound, "no upstream has the address")
 	}
+	if !s.opts.MaySend(first.GetAddress()) {
+		return status.Error(codes.FailedPrecondition, "the upstream wants no requests of this daemon")
+	}
 	if s.opts.CutOff() {
 		return status.Error(codes.Unavailable, "this daemon reaches no upstreams")
 	}
@@ -85,6 +92,14 @@
 	return carry(stream, conn)
 }
 
+// Tell implements the gRPC service.
+func (s *Server) Tell(_ context.Context, h *tunnelpb.Holdoff) (*tunnelpb.TellReply, error) {
+	s.opts.OnHoldoff(holdoff.Notice{
+		Upstream: h.GetUpstream(), Leaving: h.GetLeaving(), Pause: time.Duration(h.GetPauseMs()) * time.Millisecond,
+	})
+	return &tunnelpb.TellReply{}, nil
+}
+
 // carry passes on bytes both ways until a side closes or its connection breaks. It
 // returns nil if the upstream closed in an orderly way.
 func carry(stream tunnelpb.Tunnel_OpenServer, conn net.Conn) error {
--- a/internal/control/tunnel/tunnel_test.go
+++ b/internal/control/tunnel/tunnel_test.go
@@ -6,11 +6,13 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"currantpulley/internal/fleet"
+	"currantpulley/internal/holdoff"
 	"currantpulley/internal/peer"
 	"currantpulley/internal/upstream"
 )
@@ -23,17 +25,24 @@
 	server *Server
 	cutOff bool
 	dial   upstream.DialFunc
+
+	declines atomic.Bool         // the upstreams want no requests of it
+	notices  chan holdoff.Notice // that it was told
 }
 
+func (c *carrier) maySend(string) bool { return !c.declines.Load() }
+
+func (c *carrier) told(n holdoff.Notice) { c.notices <- n }
+
 func startCarrier(t *testing.T, name, dataCentre string, known func(string) bool) *carrier {
 	t.Helper()
 	s, err := peer.Listen("127.0.0.1:0", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &carrier{vm: fleet.VM{Name: name, PeerAddress: s.Address(), DataCentre: dataCentre}, dial: upstream.NewDial()}
+	c := &carrier{vm: fleet.VM{Name: name, PeerAddress: s.Address(), DataCentre: dataCentre}, dial: upstream.NewDial(), notices: make(chan holdoff.Notice, 1)}
 	c.server = NewServer(ServerOptions{
-		Known: known, CutOff: func() bool { return c.cutOff },
+		Known: known, MaySend: c.maySend, OnHoldoff: c.told, CutOff: func() bool { return c.cutOff },
 		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return c.dial(ctx, network, address)
 		},
@@ -250,3 +259,46 @@
 		t.Errorf("first asked: %v", firsts)
 	}
 }
+
+// To an upstream, requests come from the daemon that carries them. That one must learn
+// that the upstream wants none, and decline connections to it; another one may carry.
+func TestCarrierDeclinesWhatItWasAskedNotToSend(t *testing.T) {
+	asked, other := startCarrier(t, "b1", "a", anyAddress), startCarrier(t, "c1", "b", anyAddress)
+	c, view := newTestClient(t, asked)
+	echo := listenFor(t, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+	conn, err := dial(t, c, echo)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := holdoff.Notice{Upstream: 7, Leaving: true, Pause: 1500 * time.Millisecond}
+	if err := conn.Tell(t.Context(), want); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-asked.notices; got != want {
+		t.Errorf("the carrier was told %+v, want %+v", got, want)
+	}
+	asked.declines.Store(true)
+	if _, err := dial(t, c, echo); err == nil {
+		t.Error("the daemon that was told opened a connection")
+	}
+	view.VMs = append(view.VMs, other.vm)
+	if conn, err = dial(t, c, echo); err != nil || conn.vm != "c1" {
+		t.Errorf("not carried by the other daemon: %v", err)
+	}
+}
+
+// A daemon that is partitioned from an upstream may have its connections refused like
+// those to a port without a listener. One that reaches the upstream must be asked, too.
+func TestRefusalOfOneCarrierIsNotTheEnd(t *testing.T) {
+	near, far := startCarrier(t, "b1", "a", anyAddress), startCarrier(t, "c1", "b", anyAddress)
+	near.dial = func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+	c, _ := newTestClient(t, near, far)
+	echo := listenFor(t, func(c *net.TCPConn) { _, _ = io.Copy(c, c) })
+	if conn, err := dial(t, c, echo); err != nil || conn.vm != "c1" {
+		t.Errorf("not carried by the other daemon: %v", err)
+	}
+	far.dial = near.dial
+	if _, err := dial(t, c, echo); !errors.Is(err, ErrRefused) {
+		t.Errorf("refused at both: %v", err)
+	}
+}
--- a/internal/detour/transport.go
+++ b/internal/detour/transport.go
@@ -15,6 +15,7 @@
 	"currantpulley/internal/control/tunnel"
 	"currantpulley/internal/event"
 	"currantpulley/internal/freshness"
+	"currantpulley/internal/holdoff"
 	"currantpulley/internal/upstream"
 )
 
@@ -50,7 +51,9 @@
 
 // Transport is an http.RoundTripper that reaches upstreams directly or, where that
 // fails and another daemon succeeds, through that one. Each way has connections of its
-// own. A request whose first byte was sent one way is never sent another way.
+// own. A request whose first byte was sent one way is never sent another way. Each
+// request through another daemon has a new connection, so that the other one can
+// decline it if the upstream wants no requests from there.
 type Transport struct {
 	opts    Options
 	table   *Table
@@ -64,7 +67,7 @@
 func New(o Options) *Transport {
 	t := &Transport{opts: o, table: NewTable()}
 	t.own = upstream.NewTransportOver(t.dialOwn)
-	t.peers = upstream.NewTransportOver(t.dialPeers)
+	t.peers = upstream.NewOnceTransportOver(t.dialPeers)
 	return t
 }
 
@@ -175,6 +178,25 @@
 	return conn, nil
 }
 
+// tellTimeout bounds the call that tells a daemon what an upstream asked for.
+const tellTimeout = 500 * time.Millisecond
+
+// TellCarrier tells the daemon that carries conn, if one does, what the upstream asked
+// for in a response. It does not wait.
+func (t *Transport) TellCarrier(conn net.Conn, n holdoff.Notice) {
+	carried, ok := conn.(*tunnel.Conn)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+		defer cancel()
+		if err := carried.Tell(ctx, n); err != nil {
+			t.opts.Recorder.Record(event.Event{ID: event.CarrierNotTold, Step: "tell the carrier", Err: err})
+		}
+	}()
+}
+
 // HasEnded reports whether the process of the upstream at address has ended: its port
 // refuses the connections of another daemon or, if none can be asked, this one's.
 func (t *Transport) HasEnded(ctx context.Context, address string) bool {
--- a/internal/detour/transport_test.go
+++ b/internal/detour/transport_test.go
@@ -16,6 +16,7 @@
 	"currantpulley/internal/control/tunnel"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fleet"
+	"currantpulley/internal/holdoff"
 	"currantpulley/internal/peer"
 	"currantpulley/internal/upstream"
 )
@@ -54,7 +55,7 @@
 		}
 	}
 	tunnel.NewServer(tunnel.ServerOptions{
-		Dial: count(&f.carries), Known: func(string) bool { return true }, CutOff: func() bool { return false },
+		Dial: count(&f.carries), Known: func(string) bool { return true }, MaySend: func(string) bool { return true }, OnHoldoff: func(holdoff.Notice) {}, CutOff: func() bool { return false },
 	}).Register(s.Server)
 	go func() { _ = s.Run(t.Context()) }()
 	pool := peer.NewPool(nil)
--- a/internal/event/decision.go
+++ b/internal/event/decision.go
@@ -16,6 +16,10 @@
 	PartReleased        ID = 3012
 	UpstreamLimited     ID = 3013
 	UpstreamUnlimited   ID = 3014
+	UpstreamPaused      ID = 3015
+	UpstreamLeaving     ID = 3016
+	PauseIgnored        ID = 3017
+	CarrierNotTold      ID = 3018
 )
 
 var decisionEvents = []Definition{
@@ -33,4 +37,8 @@
 	{PartReleased, "part_released", Info, "A response to a suspected or quarantined request, or to one with such a part, began; such requests are served again."},
 	{UpstreamLimited, "upstream_limited", Info, "An upstream began to state a limit on the requests that it takes from all daemons together; detail has it."},
 	{UpstreamUnlimited, "upstream_unlimited", Info, "An upstream no longer states a limit."},
+	{UpstreamPaused, "upstream_paused", Info, "An upstream rejected a request and asked for no further ones for a time; detail has it."},
+	{UpstreamLeaving, "upstream_leaving", Info, "An upstream said in a response that it shuts down; it gets no further requests of this daemon."},
+	{PauseIgnored, "pause_ignored", Warn, "An upstream asked for a pause in a form that is not understood; logged once for each upstream."},
+	{CarrierNotTold, "carrier_not_told", Warn, "The daemon that carried a request did not learn that the upstream asked it for no requests."},
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,10 +25,6 @@
 // the upstream states not to have run.
 const maxSends = 4
 
-// busyRetryAfter is the retry delay given when no upstream could take the
-// request.
-const busyRetryAfter = 400 * time.Millisecond
-
 // attempt is one attempt to get a response from an upstream.
 type attempt struct {
 	pick     *balance.Pick
@@ -119,7 +115,7 @@
 		return errCallerGone
 	}
 	if q.runs == 0 {
-		return refusal.New(refusal.Overloaded, "no upstream took the request").WithRetryAfter(busyRetryAfter).WithCause(f)
+		return refusal.New(refusal.Overloaded, "no upstream took the request").WithRetryAfter(g.retryAfter(q)).WithCause(f)
 	}
 	if q.ctx.Err() != nil {
 		return refusal.NewUnknown(refusal.DeadlineExceeded, f, "no whole answer came in time")
@@ -136,13 +132,10 @@
 	}
 	q.snap = g.opts.Watcher.Load()
 	now := freshness.Time()
-	work := &balance.Work{Service: q.service.Name, Group: q.cacheGroup(), Resumable: q.resumable(), Tried: q.tried, Build: q.build}
-	if q.service.Engine != nil {
-		work.Prompt = q.Prompt
-	}
+	work := q.work()
 	pick := g.opts.Balancer.Pick(q.snap, work, now)
 	if pick == nil {
-		return nil, g.noUpstream()
+		return nil, g.noUpstream(work)
 	}
 	if after, refused := pick.Overloaded(q.route.Objective, q.isCallerRetry()); refused && q.mayShed() {
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
@@ -168,13 +161,13 @@
 	return nil, err
 }
 
-// noUpstream returns the refusal of a request that no upstream may get now.
-func (g *Gateway) noUpstream() *refusal.Error {
-	r := refusal.New(refusal.NoUpstream, "no upstream of the service can take the request").WithRetryAfter(busyRetryAfter)
-	if n := g.opts.Balancer.Limited(); n > 0 {
-		r = r.WithCause(fmt.Errorf("%d upstreams state a limit on requests", n))
+// work returns the request as the balancer sees it.
+func (q *request) work() *balance.Work {
+	w := &balance.Work{Service: q.service.Name, Group: q.cacheGroup(), Resumable: q.resumable(), Tried: q.tried, Build: q.build}
+	if q.service.Engine != nil {
+		w.Prompt = q.Prompt
 	}
-	return r
+	return w
 }
 
 // countSend updates the metrics for a request that is about to be sent.
@@ -354,23 +347,6 @@
 	return nil
 }
 
-// recordHead reports what the head of a's response says about its upstream to the
-// balancer.
-func (g *Gateway) recordHead(q *request, a *attempt) {
-	now := freshness.Time()
-	key := a.pick.Upstream.Key()
-	if a.head.Load != nil {
-		g.opts.Balancer.RecordLoad(key, *a.head.Load, now)
-	}
-	if a.head.Version != 0 && q.Prompt != nil {
-		g.opts.Balancer.RecordVersion(key, q.Prompt.Model, a.head.Version, now)
-	}
-	if a.response.StatusCode != http.StatusMisdirectedRequest { // which another upstream at the address sends
-		g.opts.Balancer.RecordLimit(a.pick.Upstream, a.head.Limit, a.sentAt, now)
-		g.opts.Balancer.RecordBrittle(a.pick.Upstream, a.head.Brittle, a.sentAt, now)
-	}
-}
-
 // fail reports the outcome of a failed attempt to the balancer and records an
 // event.
 func (g *Gateway) fail(q *request, a *attempt, err error) {
@@ -410,19 +386,6 @@
 		request, a.response.StatusCode, owner, a.head.Signed, a.head.NotRun, a.response.Reused, a.events, q.partIDs()) + a.stated()
 }
 
-// stated describes for the log the limit, and the rejections that end the upstream,
-// which the response's head states, if any.
-func (a *attempt) stated() string {
-	text := ""
-	if a.head.Limit != nil {
-		text = fmt.Sprintf(", limit %g/s", *a.head.Limit)
-	}
-	if a.head.Brittle != nil {
-		text += fmt.Sprintf(", ends beyond %g rejections/s", *a.head.Brittle)
-	}
-	return text
-}
-
 // maxLoggedParts is the number of parts of a prompt that a log line names.
 const maxLoggedParts = 8
 
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -40,13 +40,16 @@
 
 // Inbound holds what the head of an upstream's response says.
 type Inbound struct {
-	ID      string        // id of the request that the response belongs to
-	Signed  bool          // carries the upstream's signature
-	NotRun  bool          // the upstream states that the request did not run
-	Version uint64        // weights version; 0: not given
-	Load    *balance.Load // nil: not given
-	Brittle *float64      // rejections a second for want of room beyond which the upstream ends; nil: not brittle
-	Limit   *float64      // requests a second that the upstream takes from all daemons together; nil: any number
+	ID       string        // id of the request that the response belongs to
+	Signed   bool          // carries the upstream's signature
+	NotRun   bool          // the upstream states that the request did not run
+	Version  uint64        // weights version; 0: not given
+	Load     *balance.Load // nil: not given
+	Brittle  *float64      // rejections a second for want of room beyond which the upstream ends; nil: not brittle
+	Leaving  bool          // the upstream shuts down and wants no further requests
+	Pause    time.Duration // from now on in which the upstream wants no requests; 0: not given
+	PauseErr error         // why the time that the upstream gave for Pause can't be used; nil: it can
+	Limit    *float64      // requests a second that the upstream takes from all daemons together; nil: any number
 }
 
 // Dialect reads and writes the headers exchanged with callers and upstreams.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/event"
 	"currantpulley/internal/freshness"
+	"currantpulley/internal/holdoff"
 	"currantpulley/internal/metrics"
 	"currantpulley/internal/quarantine"
 	"currantpulley/internal/refusal"
@@ -40,6 +41,7 @@
 	MaxProofAge time.Duration                                  // maximum age of Proof at which keys are accepted
 	Origins     Origins                                        // nil: callers resume streams at any build
 	HasEnded    func(ctx context.Context, address string) bool // whether an upstream's process has ended; nil: as own connections show
+	TellCarrier func(conn net.Conn, n holdoff.Notice)          // tells a daemon that carried a request over conn what the upstream asked for; nil: none does
 	Quarantine  *quarantine.Table                              // requests and parts of prompts that crash upstreams; nil: shared with no other daemon
 	// StaleWeightsCut is the time after the announcement of a newer weights version
 	// from which a request that still waits in an engine with older weights is taken
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -59,7 +59,10 @@
 }
 
 func (dialect) Inbound(_ int, h http.Header) gateway.Inbound {
-	in := gateway.Inbound{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	in := gateway.Inbound{ID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != ""}
+	if pause := h.Get("Pause"); pause != "" {
+		in.Pause, in.PauseErr = time.ParseDuration(pause)
+	}
 	if limit, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		in.Limit = &limit
 	}
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -34,6 +34,15 @@
 	_ = r.Body.Close()
 }
 
+// Conn returns the connection on which the response came, as it was opened; nil: it is
+// not known.
+func (r *Reply) Conn() net.Conn {
+	if tracked, ok := r.conn.(*trackedConn); ok {
+		return tracked.Conn
+	}
+	return r.conn
+}
+
 // RoundTrip sends req over t at most once: the transport may try another connection
 // only as long as no byte of the request was written. Its error is a *SendError, which
 // tells whether a byte may have been sent. t must be a transport of NewTransport or
