Keep to what an address says; check that builds understand each other; soak of both

An upstream whose address another one took over later has ended: it gets no requests, and a carrier looks at the later one only. Ruled out: a lost answer (the pause was recorded), a restart (the last was 3.6 s before).

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BIN := $(CURDIR)/.bin
 PROTOS := $(shell find internal -name '*.proto')
 
-.PHONY: build check format gopls lint test proto demo fleet histories soak soak-long soak-known bench bench-quick slopes
+.PHONY: build check format gopls lint test proto demo fleet histories soak soak-long soak-upgrade soak-known bench bench-quick slopes
 
 build:
 	go build -o bin/ ./cmd/... ./internal/fake/cmd/standins
@@ -68,6 +68,19 @@
 	go build -o bin/soak ./bench/soak
 	for n in $$(seq $(SEED) $$(($(SEED) + $(SEEDS) - 1))); do bin/soak --seed $$n --binary bin/currantpulleyd || exit 1; done
 
+# Replaces daemons of the build before an upgrade one after the other, under the faults of
+# SEEDS seeds from SEED on.
+OLD_BUILD = $(shell sed -n 's/^production = "\(.*\)"/\1/p' deploy/system.toml)
+
+soak-upgrade: build
+	rm -rf bin/old && mkdir -p bin/old
+	git archive $(OLD_BUILD) | tar -x -C bin/old
+	cd bin/old && go build -o ../currantpulleyd-old ./cmd/currantpulleyd
+	rm -rf bin/old
+	go build -o bin/soak ./bench/soak
+	for n in $$(seq $(SEED) $$(($(SEED) + $(SEEDS) - 1))); do \
+		bin/soak --seed $$n --binary bin/currantpulleyd --upgrade-from bin/currantpulleyd-old || exit 1; done
+
 # Runs the seeds of soak that once had findings.
 soak-known:
 	grep -v '^#' bench/soak/seeds.txt | xargs -I{} sh -c 'go run ./bench/soak run {}'
--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -33,12 +33,15 @@
 	RuleSame     = "SAME"     // a request that comes again and crashes upstreams goes on reaching them
 	RuleCut      = "CUT"      // daemons without a way to the upstreams serve far less than the others
 	RuleBrittle  = "BRITTLE"  // upstreams that say so end because they have to reject too many
+	RuleLeaving  = "LEAVING"  // an upstream gets calls of a daemon long after it has told it that it leaves
+	RulePause    = "PAUSE"    // an upstream gets calls of a daemon in the time for which it has told it that it wants none
 	RuleLimit    = "LIMIT"    // an upstream gets more than the limit that it states
 )
 
 // Rules lists the rules in the order of the report.
 var Rules = []string{
 	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleUnasked, RuleOrder, RuleLost, RuleAttempts, RuleGone, RuleLate, RuleDenied, RuleRecover, RuleMemory, RuleCrashes, RuleSame, RuleCut, RuleBrittle, RuleLimit,
+	RuleLeaving, RulePause,
 }
 
 // Finding is a broken promise.
@@ -52,7 +55,7 @@
 func All(r *record.All) []Finding {
 	return slices.Concat(
 		Twice(r), Refused(r), Budget(r, site.RetryRatio, site.RetryExtra, site.RetryWindow),
-		Mixed(r), Unasked(r), Order(r), Lost(r), Attempts(r), Gone(r), Late(r), Denied(r), Recover(r), Memory(r), Crashes(r), Same(r), Cut(r), Brittle(r), Limits(r),
+		Mixed(r), Unasked(r), Order(r), Lost(r), Attempts(r), Gone(r), Late(r), Denied(r), Recover(r), Memory(r), Crashes(r), Same(r), Cut(r), Brittle(r), Limits(r), Leaving(r), Pauses(r),
 	)
 }
 
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -72,6 +72,8 @@
 		{"refused and ran later", RuleRefused, func(r *record.All) {
 			r.Arrivals = append(r.Arrivals, record.Arrival{Attempt: "refused", Service: site.Plain, At: at(9000), Ran: true})
 		}},
+		{"sent to an upstream that leaves", RuleLeaving, func(r *record.All) { r.Arrivals[7].Leaving = true }},
+		{"sent within a pause", RulePause, func(r *record.All) { r.Arrivals[7].Pause = time.Second }},
 		{"too many repeats that upstreams refused", RuleBudget, func(r *record.All) {
 			for i := range site.RetryExtra + 41 {
 				r.Arrivals = append(r.Arrivals, record.Arrival{Attempt: fmt.Sprint("a", i), Service: site.Plain, At: at(4000)})
--- a/bench/soak/faults.go
+++ b/bench/soak/faults.go
@@ -93,6 +93,12 @@
 		s.in.daemons[f.Target].stop(syscall.SIGTERM, site.StopGrace+killGrace)
 		sleepUntil(ctx, end)
 		s.check(s.in.daemons[f.Target].start())
+	case plan.UpgradeDaemon:
+		d := s.in.daemons[f.Target]
+		d.useProgram(s.in.newBuild)
+		d.stop(syscall.SIGTERM, site.StopGrace+killGrace)
+		sleepUntil(ctx, end)
+		s.check(d.start())
 	case plan.ReloadDaemon:
 		s.in.daemons[f.Target].signal(syscall.SIGHUP)
 		sleepUntil(ctx, end)
--- a/bench/soak/installation.go
+++ b/bench/soak/installation.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -41,6 +42,7 @@
 	plan      *plan.Plan
 	planFile  string
 	self      string // path of this program
+	newBuild  string // path of the daemon's binary
 	operator  *operator
 	store     *process
 	proxy     *process
@@ -72,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &installation{plan: p, planFile: filepath.Join(p.Dir, "plan.json"), self: self}
+	in := &installation{plan: p, planFile: filepath.Join(p.Dir, "plan.json"), self: self, newBuild: f.binary}
 	n := network()
 	p.Store = address(n, hostOthers, portStore)
 	for i := range site.Upstreams {
@@ -115,7 +117,7 @@
 	}
 	in.plan.Daemons = append(in.plan.Daemons, boot.Front)
 	file := filepath.Join(in.plan.Dir, name+".toml")
-	argv := []string{f.binary, "platform"}
+	argv := []string{cmp.Or(f.oldBuild, f.binary), "platform"}
 	if slices.Contains(f.only, plan.CutDaemons) {
 		argv = in.newPart(commandDaemon, "--number", strconv.Itoa(i)).argv
 	}
--- a/bench/soak/main.go
+++ b/bench/soak/main.go
@@ -43,6 +43,7 @@
 	only     []string
 	planted  []string
 	binary   string
+	oldBuild string
 	template string
 	keep     bool
 
@@ -67,6 +68,7 @@
 	run.Flag("only", "Kind of fault to inject; may be repeated. Default: all.").EnumsVar(&f.only, plan.Kinds()...)
 	run.Flag("plant", "Rule that the stand-ins break on purpose, to test its check; may be repeated.").EnumsVar(&f.planted, check.Rules...)
 	app.Flag("binary", "Path of the daemon's binary; empty: it is built.").StringVar(&f.binary)
+	run.Flag("upgrade-from", "Path of an older build's binary: the daemons begin with it and are replaced one after the other.").StringVar(&f.oldBuild)
 	app.Flag("template", "Template of the daemons' settings.").Default("deploy/settings.toml").StringVar(&f.template)
 	run.Flag("keep", "Keep the records and logs also if no promise was broken.").BoolVar(&f.keep)
 	part := func(name, help string) *kingpin.CmdClause {
--- a/bench/soak/plan/plan.go
+++ b/bench/soak/plan/plan.go
@@ -80,6 +80,7 @@
 	CrashingRequest = "crashing-request" // plain upstreams end when they run a request that callers send again and again meanwhile
 	StatedLimit     = "stated-limit"     // an upstream states how many requests it takes
 	Brittle         = "brittle"          // plain upstreams state how many rejections a second they bear, and end beyond
+	AskPause        = "ask-pause"        // an upstream rejects all requests and asks for none for a time
 	CutDaemons      = "cut-daemons"      // some daemons are partitioned from all upstreams; drawn only if asked for
 )
 
@@ -90,6 +91,17 @@
 // Limit returns the limit in requests a second that an upstream states during a fault.
 func (f Fault) Limit() float64 { return limitPerShare * f.Share }
 
+// Pause returns the time for which an upstream wants no requests during a fault.
+func (f Fault) Pause() time.Duration {
+	return pauseMin + time.Duration(f.Share*float64(pausePerShare))
+}
+
+// Pauses last from 1.2 to 3 s.
+const (
+	pauseMin      = time.Second
+	pausePerShare = 4 * time.Second
+)
+
 // CutMode returns how the partition of a fault shows.
 func (f Fault) CutMode() partition.Mode {
 	modes := []partition.Mode{partition.Hangs, partition.Resets, partition.Keeps}
@@ -123,6 +135,7 @@
 	KillUpstream  = "kill-upstream"
 	DrainUpstream = "drain-upstream" // SIGTERM: it announces that it leaves
 	ReloadDaemon  = "reload-daemon"  // SIGHUP
+	UpgradeDaemon = "upgrade-daemon" // SIGTERM, then the new build starts; each daemon once, if an old build is given
 	ChangeConfig  = "change-config"  // operators write two versions
 )
 
@@ -151,7 +164,7 @@
 		Refusing, Silent,
 	}
 	processKinds = []string{PauseDaemon, KillDaemon, StopDaemon, PauseUpstream, KillUpstream, DrainUpstream, ReloadDaemon, ChangeConfig}
-	longKinds    = []string{CrashingPart, StatedLimit, CrashingRequest, Brittle}
+	longKinds    = []string{CrashingPart, StatedLimit, CrashingRequest, Brittle, AskPause}
 	networkKinds = []string{NetDelay, NetReset, NetOneWay, NetSilent, StoreDown, StoreHang, StoreSlow, StoreLost, StoreRestored}
 )
 
@@ -165,7 +178,7 @@
 
 // IsDaemon reports whether a fault of a kind is a signal to a daemon.
 func IsDaemon(kind string) bool {
-	return kind == PauseDaemon || kind == KillDaemon || kind == StopDaemon || kind == ReloadDaemon
+	return kind == PauseDaemon || kind == KillDaemon || kind == StopDaemon || kind == ReloadDaemon || kind == UpgradeDaemon
 }
 
 // IsProcess reports whether the runner of the soak carries out faults of a kind.
@@ -229,7 +242,7 @@
 	for at := p.Calm; at+minLongLength < p.Duration; {
 		f := Fault{Kind: kind, From: at, Target: Everywhere, Share: 0.05 + 0.45*r.Float64()}
 		f.To = min(p.Duration, at+minLongLength+time.Duration(r.Int64N(int64(maxLongLength-minLongLength))))
-		if kind == StatedLimit {
+		if kind == StatedLimit || kind == AskPause {
 			f.Target = r.IntN(upstreams)
 		}
 		p.Faults = append(p.Faults, f)
@@ -237,6 +250,21 @@
 	}
 }
 
+// upgradeLength is the time from the end of a daemon's old process to the start of the
+// new one.
+const upgradeLength = 500 * time.Millisecond
+
+// AddUpgrade adds the replacement of all daemons, one after the other, evenly over the
+// time of the faults.
+func (p *Plan) AddUpgrade(daemons int) {
+	gap := (p.Duration - p.Calm) / time.Duration(daemons+1)
+	for i := range daemons {
+		from := p.Calm + gap*time.Duration(i+1)
+		p.Faults = append(p.Faults, Fault{Kind: UpgradeDaemon, Target: i, From: from, To: from + upgradeLength})
+	}
+	slices.SortFunc(p.Faults, func(a, b Fault) int { return int(a.From - b.From) })
+}
+
 // Active returns the faults that are in force at t for a target and whose kind is
 // one of those that match accepts.
 func (p *Plan) Active(t time.Time, target int, match func(kind string) bool) []Fault {
--- a/bench/soak/process.go
+++ b/bench/soak/process.go
@@ -56,6 +56,13 @@
 	return nil
 }
 
+// useProgram sets the program that is started from now on.
+func (p *process) useProgram(path string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.argv = append([]string{path}, p.argv[1:]...)
+}
+
 // current returns the newest run, nil if there was none.
 func (p *process) current() *run {
 	p.mu.Lock()
--- a/bench/soak/record/record.go
+++ b/bench/soak/record/record.go
@@ -18,21 +18,24 @@
 
 // Arrival is a request that an upstream has read.
 type Arrival struct {
-	Attempt  string    `json:"attempt"`
-	Service  string    `json:"service"`
-	Upstream string    `json:"upstream"` // id of the instance
-	Software string    `json:"software"`
-	At       time.Time `json:"at"`
-	Ran      bool      `json:"ran"`
-	Status   int       `json:"status"` // of the answer that the upstream chose, 0: none
-	Seal     string    `json:"seal,omitempty"`
-	Trouble  string    `json:"trouble,omitempty"`
-	Method   string    `json:"method"`
-	Digest   string    `json:"digest"`          // of the request, see Digest
-	Part     string    `json:"part,omitempty"`  // of the prompt, under which the upstream ends
-	Fell     bool      `json:"fell,omitempty"`  // the upstream ended because it had to reject too many
-	Same     string    `json:"same,omitempty"`  // the request that comes again, under which the upstream ends
-	Limit    float64   `json:"limit,omitempty"` // requests a second that the upstream states, 0: none
+	Attempt  string        `json:"attempt"`
+	Service  string        `json:"service"`
+	Upstream string        `json:"upstream"` // id of the instance
+	Software string        `json:"software"`
+	At       time.Time     `json:"at"`
+	Ran      bool          `json:"ran"`
+	Status   int           `json:"status"` // of the answer that the upstream chose, 0: none
+	Seal     string        `json:"seal,omitempty"`
+	Trouble  string        `json:"trouble,omitempty"`
+	Method   string        `json:"method"`
+	Digest   string        `json:"digest"`            // of the request, see Digest
+	Part     string        `json:"part,omitempty"`    // of the prompt, under which the upstream ends
+	Fell     bool          `json:"fell,omitempty"`    // the upstream ended because it had to reject too many
+	Same     string        `json:"same,omitempty"`    // the request that comes again, under which the upstream ends
+	Limit    float64       `json:"limit,omitempty"`   // requests a second that the upstream states, 0: none
+	Address  string        `json:"address,omitempty"` // of the upstream
+	Leaving  bool          `json:"leaving,omitempty"` // the upstream says that it leaves
+	Pause    time.Duration `json:"pause,omitempty"`   // for which the upstream wants no requests
 }
 
 // Outcome is how a call ended for its caller.
--- a/bench/soak/run.go
+++ b/bench/soak/run.go
@@ -50,6 +50,9 @@
 	}
 	s := &soak{flags: f, log: log, plan: &plan.Plan{Seed: f.seed, Duration: maxCalm + f.duration, Dir: dir, Planted: f.planted}}
 	s.plan.Draw(maxCalm, f.daemons, site.Upstreams, f.only)
+	if f.oldBuild != "" {
+		s.plan.AddUpgrade(f.daemons)
+	}
 	if err := s.play(ctx); err != nil {
 		return err
 	}
--- a/bench/soak/site/site.go
+++ b/bench/soak/site/site.go
@@ -43,7 +43,8 @@
 	AnswerSlack  = time.Second      // beyond a call's limit
 	EntryTimeout = 3600 * time.Millisecond
 	Heartbeat    = 1200 * time.Millisecond
-	Drain        = 2 * time.Second // for which a leaving upstream serves
+	Drain        = 2 * time.Second // for which an upstream serves at least after it has announced that it leaves
+	LeaveTime    = 4 * time.Second // for which it serves if it doesn't announce it
 )
 
 // Route is a route as callers use it.
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -11,9 +11,9 @@
 	"currantpulley/bench/soak/check"
 )
 
-// build builds the soak and the daemon and returns a function that runs the soak
-// and returns its output.
-func build(t *testing.T) (run func(args ...string) (string, error)) {
+// build builds the soak and the daemon and returns the daemon's path and a function that
+// runs the soak and returns its output.
+func build(t *testing.T) (daemon string, run func(args ...string) (string, error)) {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -28,8 +28,9 @@
 	if out, err := c.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v: %s", err, out)
 	}
-	return func(args ...string) (string, error) {
-		args = append(args, "--binary", filepath.Join(dir, filepath.Base(daemonPackage)), "--template", filepath.Join(root, "deploy/settings.toml"))
+	daemon = filepath.Join(dir, filepath.Base(daemonPackage))
+	return daemon, func(args ...string) (string, error) {
+		args = append(args, "--binary", daemon, "--template", filepath.Join(root, "deploy/settings.toml"))
 		c := exec.Command(filepath.Join(dir, "soak"), args...)
 		c.Env = append(os.Environ(), "TMPDIR="+t.TempDir())
 		out, err := c.CombinedOutput()
@@ -40,7 +41,7 @@
 // Guards against a soak whose parts together no longer find what each rule is for.
 func TestPlantedFaultsAreFound(t *testing.T) {
 	t.Parallel()
-	run := build(t)
+	_, run := build(t)
 	args := []string{"--duration", "3s", "--daemons", "3", "--only", "close-idle"}
 	for _, rule := range check.Rules {
 		args = append(args, "--plant", rule)
@@ -62,12 +63,13 @@
 	}
 }
 
-// Guards against broken promises under the faults of two seeds.
+// Guards against broken promises under the faults of two seeds, one of them with all
+// daemons replaced one after the other.
 func TestSeeds(t *testing.T) {
 	t.Parallel()
-	run := build(t)
-	for _, seed := range []string{"1", "2"} {
-		if out, err := run("--seed", seed, "--duration", "10s", "--daemons", "4"); err != nil {
+	daemon, run := build(t)
+	for _, args := range [][]string{{"--seed", "1"}, {"--seed", "2", "--upgrade-from", daemon}} {
+		if out, err := run(append(args, "--duration", "10s", "--daemons", "4")...); err != nil {
 			t.Errorf("%v: %s", err, out)
 		}
 	}
--- a/bench/soak/upstream/answer.go
+++ b/bench/soak/upstream/answer.go
@@ -21,8 +21,9 @@
 	attempt  string // "": not echoed
 	seal     string // "": unsigned
 	notRun   bool
-	chunked  bool // the head only: the body follows in chunks
-	unframed bool // neither a length nor chunks
+	pause    time.Duration // for which the upstream wants no requests
+	chunked  bool          // the head only: the body follows in chunks
+	unframed bool          // neither a length nor chunks
 	json     bool
 	body     string
 }
@@ -51,6 +52,12 @@
 	if limit := u.statedLimit(); limit > 0 {
 		line(names.Limit, fmt.Sprintf("%.2f", limit))
 	}
+	if u.isLeaving() {
+		line(names.Leaving, "1")
+	}
+	if p.pause > 0 {
+		line(names.RetryAfter, fmt.Sprintf("%.3f", p.pause.Seconds()))
+	}
 	if u.service == site.Engine {
 		line(names.WeightsVersion, fmt.Sprint(site.Weights))
 	}
--- a/bench/soak/upstream/need.go
+++ b/bench/soak/upstream/need.go
@@ -53,6 +53,22 @@
 	return 0
 }
 
+// wantedPause returns the time for which the upstream wants no requests now, 0 if it
+// takes them.
+func (u *Upstream) wantedPause() time.Duration {
+	for _, f := range u.opts.Plan.Active(time.Now(), u.opts.Number, func(k string) bool { return k == plan.AskPause }) {
+		return f.Pause()
+	}
+	return 0
+}
+
+// isLeaving reports whether the upstream says that it leaves.
+func (u *Upstream) isLeaving() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.leaving
+}
+
 // brittleFault returns the fault during which the upstream is brittle now.
 func (u *Upstream) brittleFault() (plan.Fault, bool) {
 	if u.service != site.Plain {
--- a/bench/soak/upstream/plant.go
+++ b/bench/soak/upstream/plant.go
@@ -20,6 +20,7 @@
 	plantedRepeats = 20  // arrivals that are recorded for one
 	plantedLimit   = 0.1 // requests a second
 	plantedPart    = "planted"
+	plantedPause   = time.Minute
 )
 
 // plants reports whether the upstream breaks a rule on purpose at this request.
@@ -37,6 +38,9 @@
 		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix) && u.chance(plantedShare)
 	}
 	once := strings.HasPrefix(r.URL.Path, site.RouteOnce.Prefix)
+	if rule == check.RuleLeaving || rule == check.RulePause {
+		return true
+	}
 	if rule == check.RuleLimit || rule == check.RuleCrashes || rule == check.RuleSame || rule == check.RuleBrittle {
 		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix)
 	}
@@ -82,6 +86,16 @@
 		fell.Fell = true
 		u.record(fell)
 	}
+	if u.plants(check.RuleLeaving, r) {
+		leaving := a
+		leaving.Leaving = true
+		u.record(leaving)
+	}
+	if u.plants(check.RulePause, r) {
+		pausing := a
+		pausing.Pause = plantedPause
+		u.record(pausing)
+	}
 	if u.plants(check.RuleLimit, r) {
 		a.Limit = plantedLimit
 		u.record(a)
--- a/bench/soak/upstream/upstream.go
+++ b/bench/soak/upstream/upstream.go
@@ -44,6 +44,7 @@
 	born    time.Time
 
 	mu      sync.Mutex
+	leaving bool // it says so
 	running int
 	seals   int
 
@@ -114,8 +115,17 @@
 	return e
 }
 
-// leave announces that the upstream leaves and returns when it may end.
+// leave says in all answers that the upstream leaves, announces it some time later, or
+// not at all, and returns when the upstream may end.
 func (u *Upstream) leave() {
+	u.mu.Lock()
+	u.leaving = true
+	u.mu.Unlock()
+	if u.chance(0.5) {
+		time.Sleep(site.LeaveTime)
+		return
+	}
+	time.Sleep(u.between(0, site.LeaveTime-site.Drain))
 	w := names.NewStoreWriter(u.opts.Plan.Store)
 	ctx, cancel := context.WithTimeout(context.Background(), site.Drain)
 	defer cancel()
@@ -171,7 +181,7 @@
 	}
 	a := record.Arrival{
 		Attempt: r.Header.Get(names.AttemptID), Service: u.service, Upstream: u.id, Software: site.SoftwareOf(u.opts.Number),
-		At: time.Now(), Method: r.Method, Digest: digest(r, body),
+		At: time.Now(), Method: r.Method, Digest: digest(r, body), Address: u.opts.Listen, Leaving: u.isLeaving(),
 	}
 	expected := r.Header.Get(names.ExpectInstance)
 	version := r.Header.Get(names.ExpectVersion)
@@ -186,6 +196,10 @@
 	if u.draws(plan.Refusing) || u.plants(check.RuleRecover, r) {
 		return u.refuse(c, r, a, http.StatusServiceUnavailable)
 	}
+	if pause := u.wantedPause(); pause > 0 {
+		a.Pause = pause
+		return u.refuse(c, r, a, http.StatusServiceUnavailable)
+	}
 	if !u.take() {
 		u.rejectForRoom(a)
 		return u.refuse(c, r, a, http.StatusServiceUnavailable)
@@ -208,7 +222,7 @@
 func (u *Upstream) refuse(c net.Conn, r *http.Request, a record.Arrival, status int) bool {
 	a.Status = status
 	u.record(a)
-	return u.write(c, r, response{status: status, attempt: a.Attempt, notRun: true}) == nil
+	return u.write(c, r, response{status: status, attempt: a.Attempt, notRun: true, pause: a.Pause}) == nil
 }
 
 // respondToControl answers a health check or a call to an engine itself.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -155,7 +155,7 @@
 	all := snap.UpstreamsOf(w.Service)
 	aff := b.affinity(snap, all, w, now)
 	for _, u := range all {
-		bar, _, risky := b.filter(w, u, b.stateOf(u.Key(), now), now)
+		bar, _, risky := b.filter(snap, w, u, b.stateOf(u.Key(), now), now)
 		if bar != NoBar {
 			continue
 		}
@@ -202,7 +202,7 @@
 		if s.unavailableFor(now) > 0 || a.short[u.ID] == w.Prompt.long() {
 			continue
 		}
-		if bar, _ := b.barFor(w, u, now); bar != NoBar {
+		if bar, _ := b.barFor(snap, w, u, now); bar != NoBar {
 			continue
 		}
 		if weight := rendezvous.Weight(rendezvous.Hash(u.ID), key); a.owner == nil || weight > most {
--- a/internal/balance/filter.go
+++ b/internal/balance/filter.go
@@ -15,6 +15,7 @@
 // Bars, in the order in which they are checked.
 const (
 	NoBar      Bar = iota
+	Replaced       // it has ended, and another one has its address
 	Leaving        // it shuts down
 	OtherBuild     // it runs another build than the one that began the stream
 	Paused         // it asked for a pause
@@ -26,7 +27,7 @@
 )
 
 // barNames are the names of bars in logs.
-var barNames = [barCount]string{"", "leaving", "of another build", "paused", "at their limit", "tried", "full", "with old weights"}
+var barNames = [barCount]string{"", "replaced", "leaving", "of another build", "paused", "at their limit", "tried", "full", "with old weights"}
 
 // Barred counts the upstreams of a service that may not get a request, by reason.
 type Barred struct {
@@ -68,8 +69,8 @@
 // filter reports why u may not get w now, and until when it is paused. An upstream
 // that is brittle and may have no room is returned as risky if the request may be sent
 // there all the same. s is u's state.
-func (b *Balancer) filter(w *Work, u *catalog.Upstream, s *upstreamState, now time.Time) (bar Bar, pauseTo time.Time, risky bool) {
-	bar, pauseTo = b.barFor(w, u, now)
+func (b *Balancer) filter(snap *catalog.Snapshot, w *Work, u *catalog.Upstream, s *upstreamState, now time.Time) (bar Bar, pauseTo time.Time, risky bool) {
+	bar, pauseTo = b.barFor(snap, w, u, now)
 	switch {
 	case bar != NoBar:
 		return bar, pauseTo, false
@@ -84,7 +85,10 @@
 }
 
 // barFor is filter without regard to room and to whether u got w before.
-func (b *Balancer) barFor(w *Work, u *catalog.Upstream, now time.Time) (bar Bar, pauseTo time.Time) {
+func (b *Balancer) barFor(snap *catalog.Snapshot, w *Work, u *catalog.Upstream, now time.Time) (bar Bar, pauseTo time.Time) {
+	if snap.IsReplaced(u) {
+		return Replaced, time.Time{}
+	}
 	if u.Leaving {
 		return Leaving, time.Time{}
 	}
@@ -111,7 +115,7 @@
 	defer b.mu.Unlock()
 	out := &Barred{}
 	for _, u := range snap.UpstreamsOf(w.Service) {
-		bar, pauseTo, _ := b.filter(w, u, b.stateOf(u.Key(), now), now)
+		bar, pauseTo, _ := b.filter(snap, w, u, b.stateOf(u.Key(), now), now)
 		if bar == NoBar {
 			bar = Outdated
 		}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -141,3 +141,22 @@
 		}
 	}
 }
+
+// An address belongs to the upstream that started last, also to one of another service.
+func TestReplacedUpstreams(t *testing.T) {
+	w := NewWatcher()
+	old := &Upstream{ID: "a", Service: "s", Address: "x:1", Started: 1}
+	later := &Upstream{ID: "b", Service: "other", Address: "x:1", Started: 2}
+	elsewhere := &Upstream{ID: "c", Service: "s", Address: "x:2", Started: 1}
+	for _, u := range []*Upstream{old, later, elsewhere} {
+		w.PutUpstream(u)
+	}
+	s := w.Load()
+	if !s.IsReplaced(old) || s.IsReplaced(later) || s.IsReplaced(elsewhere) {
+		t.Errorf("replaced: %t, %t, %t", s.IsReplaced(old), s.IsReplaced(later), s.IsReplaced(elsewhere))
+	}
+	w.RemoveUpstream(later.ID)
+	if w.Load().IsReplaced(old) {
+		t.Error("still replaced after the other one has gone")
+	}
+}
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -19,6 +19,7 @@
 	byService map[string][]*Upstream
 	byShortID map[uint32]*Upstream
 	addresses map[string][]*Upstream
+	replaced  map[*Upstream]bool // see IsReplaced
 }
 
 // UpstreamsOf returns the upstreams of a service, sorted by id and including
@@ -33,6 +34,10 @@
 // after one has ended and another took over its address.
 func (s *Snapshot) AtAddress(address string) []*Upstream { return s.addresses[address] }
 
+// IsReplaced reports whether another upstream has u's address and started later: u has
+// ended, and what is sent to its address reaches the other one.
+func (s *Snapshot) IsReplaced(u *Upstream) bool { return len(s.replaced) > 0 && s.replaced[u] }
+
 // Watcher applies updates from providers to the current snapshot and tells
 // readers of changes. It is safe for concurrent use.
 type Watcher struct {
@@ -167,6 +172,15 @@
 		s.byShortID[u.ShortID()] = u
 		s.byService[u.Service] = append(s.byService[u.Service], u)
 	}
+	s.replaced = make(map[*Upstream]bool)
+	for _, same := range s.addresses {
+		newest := slices.MaxFunc(same, func(a, b *Upstream) int { return cmp.Compare(a.Started, b.Started) })
+		for _, u := range same {
+			if u.Started < newest.Started {
+				s.replaced[u] = true
+			}
+		}
+	}
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	}
--- a/internal/control/peers/tunnel.go
+++ b/internal/control/peers/tunnel.go
@@ -59,8 +59,9 @@
 // maySendTo reports whether an upstream at the address takes requests of this daemon.
 func (p *Peers) maySendTo(address string) bool {
 	now := freshness.Time()
-	return slices.ContainsFunc(p.opts.Watcher.Load().AtAddress(address), func(u *catalog.Upstream) bool {
-		return p.opts.Balancer.MaySend(u, now)
+	snap := p.opts.Watcher.Load()
+	return slices.ContainsFunc(snap.AtAddress(address), func(u *catalog.Upstream) bool {
+		return !snap.IsReplaced(u) && p.opts.Balancer.MaySend(u, now)
 	})
 }
 
--- a/internal/control/tunnel/tunnel_test.go
+++ b/internal/control/tunnel/tunnel_test.go
@@ -11,6 +11,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"currantpulley/internal/control/tunnel/tunnelpb"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/holdoff"
 	"currantpulley/internal/peer"
@@ -35,6 +39,12 @@
 func (c *carrier) told(n holdoff.Notice) { c.notices <- n }
 
 func startCarrier(t *testing.T, name, dataCentre string, known func(string) bool) *carrier {
+	t.Helper()
+	return startCarrierOf(t, name, dataCentre, known, func(s *Server) tunnelpb.TunnelServer { return s })
+}
+
+// startCarrierOf is startCarrier with what build makes of its server.
+func startCarrierOf(t *testing.T, name, dataCentre string, known func(string) bool, build func(*Server) tunnelpb.TunnelServer) *carrier {
 	t.Helper()
 	s, err := peer.Listen("127.0.0.1:0", nil)
 	if err != nil {
@@ -47,7 +57,7 @@
 			return c.dial(ctx, network, address)
 		},
 	})
-	c.server.Register(s.Server)
+	tunnelpb.RegisterTunnelServer(s.Server, build(c.server))
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go func() { _ = s.Run(ctx) }()
@@ -302,3 +312,37 @@
 		t.Errorf("refused at both: %v", err)
 	}
 }
+
+// oldCarrier is a daemon of a build that has no Tell.
+type oldCarrier struct {
+	tunnelpb.UnimplementedTunnelServer
+	*Server
+}
+
+// Open implements the gRPC service.
+func (o oldCarrier) Open(stream tunnelpb.Tunnel_OpenServer) error { return o.Server.Open(stream) }
+
+// Tell implements the gRPC service.
+func (o oldCarrier) Tell(ctx context.Context, h *tunnelpb.Holdoff) (*tunnelpb.TellReply, error) {
+	return o.UnimplementedTunnelServer.Tell(ctx, h)
+}
+
+// During an upgrade the carrier may not know how to be told. The connection must go on.
+func TestCarrierOfAnOlderBuild(t *testing.T) {
+	c := startCarrierOf(t, "b1", "a", anyAddress, func(s *Server) tunnelpb.TunnelServer { return oldCarrier{Server: s} })
+	client, _ := newTestClient(t, c)
+	conn, err := dial(t, client, listenFor(t, func(c *net.TCPConn) { _, _ = io.Copy(c, c) }))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Tell(t.Context(), holdoff.Notice{Upstream: 7, Leaving: true}); status.Code(errors.Unwrap(err)) != codes.Unimplemented {
+		t.Errorf("telling an older build: %v", err)
+	}
+	echo := make([]byte, 4)
+	if _, err := conn.Write([]byte("ping")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(conn, echo); err != nil || string(echo) != "ping" {
+		t.Errorf("%q, %v", echo, err)
+	}
+}
