Know one upstream an address

An address has one process, so the index by address keeps the upstream that started last and the others are compared with it; without shared addresses the check is one flag. Before, each change of the catalog built a list for each address.

--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -18,8 +18,8 @@
 	Weights   map[string]WeightsTarget // by model
 	byService map[string][]*Upstream
 	byShortID map[uint32]*Upstream
-	addresses map[string][]*Upstream
-	replaced  map[*Upstream]bool // see IsReplaced
+	addresses map[string]*Upstream // see AtAddress
+	shared    bool                 // some upstreams have an address in common
 }
 
 // UpstreamsOf returns the upstreams of a service, sorted by id and including
@@ -30,13 +30,19 @@
 // is none.
 func (s *Snapshot) ByShortID(shortID uint32) *Upstream { return s.byShortID[shortID] }
 
-// AtAddress returns the upstreams that have the address, host:port. There may be two
-// after one has ended and another took over its address.
-func (s *Snapshot) AtAddress(address string) []*Upstream { return s.addresses[address] }
+// AtAddress returns the upstream that has the address, host:port, or nil. If there are
+// several, it is the one that started last.
+func (s *Snapshot) AtAddress(address string) *Upstream { return s.addresses[address] }
 
 // IsReplaced reports whether another upstream has u's address and started later: u has
 // ended, and what is sent to its address reaches the other one.
-func (s *Snapshot) IsReplaced(u *Upstream) bool { return len(s.replaced) > 0 && s.replaced[u] }
+func (s *Snapshot) IsReplaced(u *Upstream) bool {
+	if !s.shared {
+		return false
+	}
+	newest := s.addresses[u.Address]
+	return newest != nil && newest.Started > u.Started
+}
 
 // Watcher applies updates from providers to the current snapshot and tells
 // readers of changes. It is safe for concurrent use.
@@ -166,26 +172,27 @@
 func (s *Snapshot) index() {
 	s.byService = make(map[string][]*Upstream)
 	s.byShortID = make(map[uint32]*Upstream, len(s.Upstreams))
-	s.addresses = make(map[string][]*Upstream, len(s.Upstreams))
+	s.addresses = make(map[string]*Upstream, len(s.Upstreams))
+	s.shared = false
 	for _, u := range s.Upstreams {
-		s.addresses[u.Address] = append(s.addresses[u.Address], u)
+		s.indexAddress(u)
 		s.byShortID[u.ShortID()] = u
 		s.byService[u.Service] = append(s.byService[u.Service], u)
 	}
-	s.replaced = make(map[*Upstream]bool)
-	for _, same := range s.addresses {
-		newest := slices.MaxFunc(same, func(a, b *Upstream) int { return cmp.Compare(a.Started, b.Started) })
-		for _, u := range same {
-			if u.Started < newest.Started {
-				s.replaced[u] = true
-			}
-		}
-	}
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
 	}
 }
 
+// indexAddress adds u to the index of upstreams by address.
+func (s *Snapshot) indexAddress(u *Upstream) {
+	other := s.addresses[u.Address]
+	s.shared = s.shared || other != nil
+	if other == nil || other.Started < u.Started {
+		s.addresses[u.Address] = u
+	}
+}
+
 // update replaces the current snapshot by a copy changed by f, and tells readers.
 // f must not change maps that the copy shares with the old snapshot.
 func (w *Watcher) update(f func(*Snapshot)) {
--- a/internal/control/peers/tunnel.go
+++ b/internal/control/peers/tunnel.go
@@ -1,11 +1,9 @@
 package peers
 
 import (
-	"slices"
 	"sync"
 	"time"
 
-	"currantpulley/internal/catalog"
 	"currantpulley/internal/control/tunnel"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/holdoff"
@@ -53,16 +51,13 @@
 
 // hasUpstreamAt reports whether an upstream has the address.
 func (p *Peers) hasUpstreamAt(address string) bool {
-	return len(p.opts.Watcher.Load().AtAddress(address)) > 0
+	return p.opts.Watcher.Load().AtAddress(address) != nil
 }
 
-// maySendTo reports whether an upstream at the address takes requests of this daemon.
+// maySendTo reports whether the upstream at the address takes requests of this daemon.
 func (p *Peers) maySendTo(address string) bool {
-	now := freshness.Time()
-	snap := p.opts.Watcher.Load()
-	return slices.ContainsFunc(snap.AtAddress(address), func(u *catalog.Upstream) bool {
-		return !snap.IsReplaced(u) && p.opts.Balancer.MaySend(u, now)
-	})
+	u := p.opts.Watcher.Load().AtAddress(address)
+	return u != nil && p.opts.Balancer.MaySend(u, freshness.Time())
 }
 
 // Tunnels returns the client of connections through other daemons.
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -61,7 +61,7 @@
 	now := freshness.Time()
 	barred := g.opts.Balancer.WhyBarred(g.opts.Watcher.Load(), w, now)
 	return refusal.New(refusal.NoUpstream, "no upstream of the service can take the request").
-		WithRetryAfter(retryAfter(barred, now)).WithCause(fmt.Errorf("%v", barred))
+		WithRetryAfter(untilRoom(barred, now)).WithCause(fmt.Errorf("%v", barred))
 }
 
 // retryAfter returns the time after which the caller of a refused request should retry.
@@ -69,12 +69,12 @@
 	now := freshness.Time()
 	w := q.work()
 	w.Tried = nil // a retry may go to any upstream
-	return retryAfter(g.opts.Balancer.WhyBarred(q.snap, w, now), now)
+	return untilRoom(g.opts.Balancer.WhyBarred(q.snap, w, now), now)
 }
 
-// retryAfter returns the time until the first upstream may take a request: the end of
-// a pause if that is what all wait for.
-func retryAfter(b *balance.Barred, now time.Time) time.Duration {
+// untilRoom returns the time until the first upstream may take a request: the end of a
+// pause if that is what all wait for.
+func untilRoom(b *balance.Barred, now time.Time) time.Duration {
 	if d, ok := b.OnlyPaused(now); ok {
 		return max(d, minRetryAfter)
 	}
