--- a/bench/soak/upstream/need.go
+++ b/bench/soak/upstream/need.go
@@ -34,7 +34,9 @@
 	return false
 }
 
-// crash begins to answer a request, half of the plain ones, and ends the process.
+// crash begins to answer a request, half of the plain ones, and ends the process. Its
+// port refuses connections before the answer ends: the kernel closes a process's files
+// in the order of their numbers, and a connection may have a lower one than the port.
 func (u *Upstream) crash(c net.Conn, a record.Arrival) {
 	time.Sleep(u.between(minWork, maxWork))
 	if a.Same != "" && u.chance(0.5) {
@@ -42,6 +44,8 @@
 	}
 	_, _ = io.WriteString(c, u.head(response{status: http.StatusOK, attempt: a.Attempt, seal: u.nextSeal(), unframed: true}))
 	time.Sleep(u.between(minWork, maxWork))
+	u.crashing.Store(true)
+	_ = u.listener.Close()
 	os.Exit(CrashStatus)
 }
 
--- a/bench/soak/upstream/upstream.go
+++ b/bench/soak/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -43,6 +44,9 @@
 	slots   int
 	born    time.Time
 
+	listener net.Listener
+	crashing atomic.Bool // the process is about to end, and its port is closed
+
 	mu      sync.Mutex
 	leaving bool // it says so
 	running int
@@ -65,6 +69,7 @@
 	if err != nil {
 		return err
 	}
+	u.listener = l
 	served := make(chan struct{})
 	go func() {
 		u.heartbeat(ctx)
@@ -79,6 +84,9 @@
 			return nil
 		default:
 		}
+		if err != nil && u.crashing.Load() {
+			select {} // until the process ends
+		}
 		if err != nil {
 			return err
 		}
