Excuse a pause only where the daemon itself was cut

Its planted partition of one daemon lasts for the whole run, and the check took any partition as a reason why an answer may not have arrived, at every daemon.

--- a/bench/soak/check/holdoff.go
+++ b/bench/soak/check/holdoff.go
@@ -77,7 +77,7 @@
 	var out []Finding
 	for _, p := range sortedPairs(byPair) {
 		for i, told := range byPair[p] {
-			if told.Pause <= 0 || harmed(r, told.Address, told.At) {
+			if told.Pause <= 0 || harmed(r, told.Address, p.daemon, told.At) {
 				continue
 			}
 			n := 0
@@ -108,10 +108,10 @@
 }
 
 // harmed reports whether the network may have lost or held up what an upstream answered
-// at a moment.
-func harmed(r *record.All, address string, at time.Time) bool {
+// to a daemon at a moment.
+func harmed(r *record.All, address, daemon string, at time.Time) bool {
 	return slices.ContainsFunc(r.Spans, func(s record.Span) bool {
-		network := plan.IsNetwork(s.Kind) && (s.Target == address || s.Target == "all") || s.Kind == plan.CutDaemons
+		network := plan.IsNetwork(s.Kind) && (s.Target == address || s.Target == "all") || s.Kind == plan.CutDaemons && s.Cuts(daemon)
 		return network && s.From.Before(at.Add(touchTime)) && s.To.Add(touchTime).After(at)
 	})
 }
