--- a/review/lab/daemon.go
+++ b/review/lab/daemon.go
@@ -121,7 +121,7 @@
 		"{{nodeName}}", d.Name, "{{zone}}", "a", "{{ip}}", ip, "{{listen.front}}", d.Front, "{{listen.control}}", ip+":8783",
 		"{{listen.ready}}", d.Ready, "{{provider.address}}", store, "{{limits.memoryMb}}", "206", "{{bounds.revokeMs}}", fmt.Sprint(RevokeMS),
 		"{{bounds.graceS}}", fmt.Sprint(GraceS), "{{bounds.leaseMs}}", fmt.Sprint(LeaseMS), "{{bounds.fencingEnforced|json}}", fmt.Sprint(fenced),
-		"{{bounds.versionMs}}", "12000", "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.retryBudgetExtra}}", "129", "{{bounds.retryWindowS}}", "10",
+		"{{bounds.versionMs}}", "8000", "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.retryBudgetExtra}}", "129", "{{bounds.retryWindowS}}", "10",
 	).Replace(string(template))
 	if strings.Contains(text, "{{") {
 		return nil, fmt.Errorf("the template has unknown fields: %s", text)
