--- a/review/2/main.go
+++ b/review/2/main.go
@@ -14,21 +14,20 @@
 )
 
 const (
-	versionTime = 8 * time.Second // versionMs
-	watched     = 20 * time.Second
-	period      = 100 * time.Millisecond // between two requests
+	watched = 20 * time.Second       // 2.5 x versionMs
+	period  = 100 * time.Millisecond // between two requests
 )
 
 func main() { os.Exit(run()) }
 
 func run() int {
-	l, err := lab.New("review/2")
+	l, err := lab.New(lab.TrayReturns)
 	if err != nil {
 		fmt.Println(err)
 		return 2
 	}
 	defer l.Close()
-	h, err := lab.NewHandover(l, true)
+	h, err := lab.NewHandover(l)
 	if err == nil {
 		err = h.Play()
 	}
@@ -40,8 +39,8 @@
 	named := time.Now()
 	sent, served := 0, 0 // later than versionMs
 	for n := 0; time.Since(named) < watched; n++ {
-		late := time.Since(named) > versionTime
-		status := l.Call(h.First, "talk", fmt.Sprintf("talk-%d", n), "key")
+		late := time.Since(named) > lab.TrayReturns.Version
+		status, _ := l.Call(h.First, "talk", fmt.Sprintf("talk-%d", n), "key")
 		l.Logf("%s answers %d to talk-%d", h.First.Name, status, n)
 		if late {
 			sent++
@@ -54,7 +53,7 @@
 	behind, all := h.Behind(4)
 	l.Logf("%d of %d engines have older weights %v after the new ones were named", behind, all, watched)
 	fmt.Printf("VERSION: %d of %d engines have older weights %v after the new ones were named; of %d requests sent later than %v after it %d were served\n",
-		behind, all, watched, sent, versionTime, served)
+		behind, all, watched, sent, lab.TrayReturns.Version, served)
 	if behind > 1 && 10*behind > all {
 		return 1
 	}
--- a/review/lab/daemon.go
+++ b/review/lab/daemon.go
@@ -5,22 +5,41 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// Figures of the settings.
+// Figures of the settings that are the same at both sites.
 const (
 	GraceS   = 8
 	RevokeMS = 5000
 	LeaseMS  = 3000
+	Contact  = 3 * time.Second // contactMs
+)
+
+// Site has the figures in which the sites differ.
+type Site struct {
+	Fenced     bool // fencingEnforced
+	MemoryMB   int
+	RetryExtra int
+	Version    time.Duration // versionMs
+	Load       time.Duration // of new weights
+}
+
+// The sites that the cases name.
+var (
+	TrayReturns = Site{Fenced: true, MemoryMB: 120, RetryExtra: 135, Version: 8 * time.Second, Load: 570 * time.Millisecond}
+	TkhUb       = Site{Fenced: false, MemoryMB: 206, RetryExtra: 129, Version: 12 * time.Second, Load: 1100 * time.Millisecond}
 )
 
 // Lab starts and ends everything of a case, and writes its record.
@@ -28,6 +47,7 @@
 	Trouble bool // the case has its disruption
 	Store   *Store
 	Daemons []*Daemon
+	site    Site
 	began   time.Time
 	dir     string // temporary
 	network string // first three numbers of the daemons' addresses
@@ -36,11 +56,15 @@
 	record *os.File
 }
 
-// New returns a Lab that writes the record to record.txt in folder.
-func New(folder string) (*Lab, error) {
-	l := &Lab{Trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
+// New returns a Lab of a site, which writes the record to the file that the first
+// argument of the program names.
+func New(site Site) (*Lab, error) {
+	if len(os.Args) != 2 {
+		return nil, fmt.Errorf("usage: %s RECORD", os.Args[0])
+	}
+	l := &Lab{Trouble: os.Getenv("TROUBLE") != "0", site: site, began: time.Now()}
 	var err error
-	if l.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
+	if l.record, err = os.Create(os.Args[1]); err != nil {
 		return nil, err
 	}
 	if l.dir, err = os.MkdirTemp("", "review-"); err != nil {
@@ -104,7 +128,7 @@
 }
 
 // AddDaemon adds a machine, on which Start starts the daemon.
-func (l *Lab) AddDaemon(fenced bool) (*Daemon, error) {
+func (l *Lab) AddDaemon() (*Daemon, error) {
 	n := len(l.Daemons)
 	store, err := l.Store.Listen(n)
 	if err != nil {
@@ -119,9 +143,9 @@
 	}
 	text := strings.NewReplacer(
 		"{{nodeName}}", d.Name, "{{zone}}", "a", "{{ip}}", ip, "{{listen.front}}", d.Front, "{{listen.control}}", ip+":8783",
-		"{{listen.ready}}", d.Ready, "{{provider.address}}", store, "{{limits.memoryMb}}", "206", "{{bounds.revokeMs}}", fmt.Sprint(RevokeMS),
-		"{{bounds.graceS}}", fmt.Sprint(GraceS), "{{bounds.leaseMs}}", fmt.Sprint(LeaseMS), "{{bounds.fencingEnforced|json}}", fmt.Sprint(fenced),
-		"{{bounds.versionMs}}", "8000", "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.retryBudgetExtra}}", "129", "{{bounds.retryWindowS}}", "10",
+		"{{listen.ready}}", d.Ready, "{{provider.address}}", store, "{{limits.memoryMb}}", fmt.Sprint(l.site.MemoryMB), "{{bounds.revokeMs}}", fmt.Sprint(RevokeMS),
+		"{{bounds.graceS}}", fmt.Sprint(GraceS), "{{bounds.leaseMs}}", fmt.Sprint(LeaseMS), "{{bounds.fencingEnforced|json}}", fmt.Sprint(l.site.Fenced),
+		"{{bounds.versionMs}}", fmt.Sprint(l.site.Version.Milliseconds()), "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.retryBudgetExtra}}", fmt.Sprint(l.site.RetryExtra), "{{bounds.retryWindowS}}", "10",
 	).Replace(string(template))
 	if strings.Contains(text, "{{") {
 		return nil, fmt.Errorf("the template has unknown fields: %s", text)
@@ -189,32 +213,27 @@
 	}
 }
 
-// Restart ends the daemon with a signal and starts it again after a short delay.
-func (d *Daemon) Restart(s syscall.Signal) error {
-	d.Signal(s)
-	if !d.Wait(GraceS * time.Second) {
-		d.Signal(syscall.SIGKILL)
-		d.Wait(time.Second)
-	}
-	time.Sleep(100 * time.Millisecond)
-	return d.Start()
-}
-
 // AwaitReady waits until the daemon says that it is ready.
 func (d *Daemon) AwaitReady(most time.Duration) bool {
 	for end := time.Now().Add(most); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		res, err := http.Get("http://" + d.Ready + "/readyz")
-		if err != nil {
-			continue
-		}
-		_ = res.Body.Close()
-		if res.StatusCode == http.StatusOK {
+		if d.isReady() {
 			return true
 		}
 	}
 	return false
 }
 
+// isReady asks the daemon whether it is ready.
+func (d *Daemon) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	res, err := client.Get("http://" + d.Ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
 // Tenant is a tenant of the configuration.
 type Tenant struct {
 	Name string   `json:"name"`
@@ -263,14 +282,20 @@
 	return ok
 }
 
-// Call sends a request to a daemon and returns the status, 0 without an answer.
-func (l *Lab) Call(d *Daemon, route, attempt, key string) int {
+// Call sends a request to a daemon on a new connection and returns the status, 0 without
+// an answer, and the time after which to come back.
+func (l *Lab) Call(d *Daemon, route, attempt, key string) (status int, retryAfter time.Duration) {
+	t := &http.Transport{DisableKeepAlives: true}
+	return l.CallOver(t, d, route, attempt, key)
+}
+
+// CallOver is Call on the connection that t keeps.
+func (l *Lab) CallOver(t *http.Transport, d *Daemon, route, attempt, key string) (status int, retryAfter time.Duration) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+d.Front+"/"+route+"/x", strings.NewReader("work "+attempt))
 	if err != nil {
-		return 0
+		return 0, 0
 	}
 	req.Host = Host
-	req.Close = true
 	req.Header.Set("X-Attempt-Id", attempt)
 	req.Header.Set("X-Deadline-Ms", "4000")
 	req.Header.Set("X-Api-Key", key)
@@ -279,11 +304,63 @@
 		req.Header.Set("X-Token-Usage", "100,3")
 		req.Header.Set("X-Prompt-Prefix", "ab12:50,"+attempt+":50")
 	}
-	client := http.Client{Timeout: 5 * time.Second}
+	client := http.Client{Timeout: 4 * time.Second, Transport: t}
 	res, err := client.Do(req)
 	if err != nil {
-		return 0
+		return 0, 0
+	}
+	_, _ = io.Copy(io.Discard, res.Body)
+	_ = res.Body.Close()
+	seconds, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64)
+	return res.StatusCode, time.Duration(seconds * float64(time.Second))
+}
+
+// Balancer sends new connections to daemons as PROTOCOL.md says of the platform: it asks
+// each daemon once a second whether it is ready. Two misses take it out, one 200 brings
+// it back. If fewer than half are in, all are used.
+type Balancer struct {
+	mu      sync.Mutex
+	daemons []*Daemon
+	misses  map[*Daemon]int
+}
+
+// misses of a daemon that was never ready
+const outOfRotation = 2
+
+// NewBalancer starts to ask the daemons. report is called after each question.
+func NewBalancer(daemons []*Daemon, report func(d *Daemon, ready bool)) *Balancer {
+	b := &Balancer{daemons: daemons, misses: make(map[*Daemon]int)}
+	for _, d := range daemons {
+		b.misses[d] = outOfRotation
+		go func() {
+			for {
+				ready := d.isReady()
+				b.mu.Lock()
+				b.misses[d]++
+				if ready {
+					b.misses[d] = 0
+				}
+				b.mu.Unlock()
+				report(d, ready)
+				time.Sleep(time.Second)
+			}
+		}()
+	}
+	return b
+}
+
+// Pick returns a daemon for a new connection.
+func (b *Balancer) Pick() *Daemon {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var in []*Daemon
+	for _, d := range b.daemons {
+		if b.misses[d] < outOfRotation {
+			in = append(in, d)
+		}
+	}
+	if 2*len(in) < len(b.daemons) {
+		in = b.daemons
 	}
-	defer func() { _ = res.Body.Close() }()
-	return res.StatusCode
+	return in[rand.IntN(len(in))]
 }
--- a/review/lab/handover.go
+++ b/review/lab/handover.go
@@ -4,15 +4,13 @@
 
 import (
 	"fmt"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
 )
 
-const (
-	engines  = 4
-	loadTime = 570 * time.Millisecond // of new weights
-)
+const engines = 4
 
 // Handover plays this: of two machines the first gives the orders. The store turns it
 // away, the second one takes over and gives the next orders, and is then removed in a
@@ -27,11 +25,11 @@
 	replicas []*Replica
 }
 
-// NewHandover starts two daemons and the engines, which check fencing tokens if fenced.
-func NewHandover(l *Lab, fenced bool) (*Handover, error) {
+// NewHandover starts two daemons and the engines.
+func NewHandover(l *Lab) (*Handover, error) {
 	h := &Handover{Lab: l}
 	for i := range engines {
-		p := &Replica{ID: fmt.Sprintf("llm-%d", i), Service: "llm", Engine: true, Fenced: fenced, LoadTime: loadTime}
+		p := &Replica{ID: fmt.Sprintf("llm-%d", i), Service: "llm", Engine: true, Fenced: l.site.Fenced, LoadTime: l.site.Load}
 		if err := p.Start(l.Store, h.onOrder, func(r Run) { l.Logf("replica %s runs %s", r.Replica, r.Attempt) }); err != nil {
 			return nil, err
 		}
@@ -40,7 +38,7 @@
 	l.PutConfig(1, Tenant{Name: "north", Keys: []string{"key"}})
 	l.PutVersion(1)
 	for range 2 {
-		d, err := l.AddDaemon(fenced)
+		d, err := l.AddDaemon()
 		if err == nil {
 			err = d.Start()
 		}
@@ -92,25 +90,28 @@
 	return false
 }
 
-// Play plays the handover, in which weights 2 and 3 are rolled out. It returns
-// contactMs after the last event.
+// mostTurnedAway is the time for which the store may turn a machine away.
+const mostTurnedAway = 9 * time.Second
+
+// Play plays the handover, in which weights 2 and 3 are named. It returns contactMs after
+// the last event.
 func (h *Handover) Play() error {
-	const most = 8500 * time.Millisecond // for which the store may turn a machine away
 	l, second := h.Lab, h.Lab.Daemons[1]
 	time.Sleep(2 * time.Second)
 	l.PutVersion(2)
-	if !h.Await(2, most) {
+	if !h.Await(2, l.site.Version) {
 		return fmt.Errorf("weights 2 are not rolled out")
 	}
+	began := time.Now()
 	if l.Trouble {
 		l.Store.Refuse(0, true)
 		l.Logf("store: turns %s away", h.First.Name)
 	}
-	began := time.Now()
 	time.Sleep(time.Second)
 	l.PutVersion(3)
-	if !h.Await(3, most-time.Second) {
-		return fmt.Errorf("weights 3 are not rolled out")
+	h.Await(3, mostTurnedAway-time.Second-time.Since(began))
+	if l.Trouble && !h.ordered(second) {
+		return fmt.Errorf("%s gave no order", second.Name)
 	}
 	second.Signal(syscall.SIGTERM)
 	time.Sleep(300 * time.Millisecond)
@@ -121,6 +122,16 @@
 	if !second.Wait(GraceS * time.Second) {
 		return fmt.Errorf("%s does not end", second.Name)
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(Contact)
 	return nil
 }
+
+// ordered reports whether a daemon gave an order that an engine accepted.
+func (h *Handover) ordered(d *Daemon) bool {
+	for _, o := range h.Orders() {
+		if o.Holder == d.Name && o.Status == http.StatusAccepted {
+			return true
+		}
+	}
+	return false
+}
--- a/review/lab/replica.go
+++ b/review/lab/replica.go
@@ -148,7 +148,7 @@
 		FencingToken      uint64
 		ExpectedRevision  *uint64
 	}
-	if json.Unmarshal(body, &o) != nil {
+	if json.Unmarshal(body, &o) != nil || o.Op != "version" || o.Model != Model || o.Holder == "" || o.FencingToken == 0 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
