Give up a lease whose fencing token an engine refused

An engine that has seen a higher token for any reason kept its service on old weights for good, and only order_unfinished told operators.

Change: the runner reports the refusal to the lease, which never uses that token again. New event 7016 orders_outdated.

--- a/internal/event/provider.go
+++ b/internal/event/provider.go
@@ -18,6 +18,7 @@
 	ProviderRestored         ID = 7013
 	UpstreamsUnreachable     ID = 7014
 	UpstreamsRegained        ID = 7015
+	OrdersOutdated           ID = 7016
 )
 
 var providerEvents = []Definition{
@@ -36,4 +37,5 @@
 	{ProviderRestored, "provider_restored", Warn, "A provider was restored from an older copy; its records are read anew, and what it lost is expected to be written again."},
 	{UpstreamsUnreachable, "upstreams_unreachable", Warn, "This daemon can't connect to upstreams that other daemons reach; its requests go through these, and it gives up the lease for orders to engines."},
 	{UpstreamsRegained, "upstreams_regained", Info, "This daemon connects to upstreams itself again."},
+	{OrdersOutdated, "orders_outdated", Warn, "An engine refused an order because it has seen a higher fencing token; the daemon gives up the lease, and acquires it only with a higher token."},
 }
--- a/internal/rollout/order_test.go
+++ b/internal/rollout/order_test.go
@@ -49,6 +49,7 @@
 type heldLease struct{}
 
 func (heldLease) Token() (uint64, bool) { return 1, true }
+func (heldLease) Refused(uint64)        {}
 
 // measureOrder gives one order to an engine whose last request that can't be
 // resumed ends after busyFor. It returns the longest duration of each stage.
--- a/internal/rollout/runner.go
+++ b/internal/rollout/runner.go
@@ -53,6 +53,9 @@
 type Lease interface {
 	// Token returns the fencing token and whether the lease is held now.
 	Token() (uint64, bool)
+	// Refused reports that an engine refused a token as outdated. Token does not
+	// return it any more.
+	Refused(token uint64)
 }
 
 // Options configure a Runner.
@@ -102,12 +105,11 @@
 // Runner plans and gives orders while its daemon holds the lease. Its state is
 // owned by the goroutine of Run.
 type Runner struct {
-	opts        Options
-	engines     map[key]*engineState
-	results     chan result
-	notices     chan orderNotice
-	holdoffs    map[catalog.Key]holdoff
-	fencedToken uint64 // token that an engine refused as outdated
+	opts     Options
+	engines  map[key]*engineState
+	results  chan result
+	notices  chan orderNotice
+	holdoffs map[catalog.Key]holdoff
 }
 
 // key identifies the state of one model at one engine.
@@ -196,7 +198,7 @@
 // held.
 func (r *Runner) step(ctx context.Context, now time.Time) {
 	token, held := r.opts.Lease.Token()
-	if !held || token == r.fencedToken {
+	if !held {
 		return
 	}
 	snap := r.opts.Watcher.Load()
@@ -311,7 +313,7 @@
 		st.failures++
 		st.RetryAt = now.Add(min(maxFailureBackoff, failureBackoff<<min(st.failures, 8)))
 	case errors.Is(res.err, ErrFenced):
-		r.fencedToken = res.token
+		r.opts.Lease.Refused(res.token)
 	case errors.Is(res.err, ErrConflict):
 		st.RetryAt = now.Add(conflictBackoff)
 	case errors.Is(res.err, ErrRejected):
