Begin streams only at versions that are remembered

Reported by another operator: after a kill of all daemons, streams that callers took up were joined from two software versions (ORDER).

Cause here: a build was kept in the store up to a second after the daemons began streams on it, not in the first 3 s after a start, and never while the store took no writes. If all daemons were killed then and its upstreams were gone when they were back, the take-ups went to the only build that was known.

Ruled out: builds that were kept before (refused, TestTakenUpStreamAfterAKill OfAllDaemons), and a start that can't read the kept builds (refused).

Change: streams that callers may resume go first to upstreams whose build is kept: one that is not scores as if it had 3 s more work. Each daemon gets a new build kept as soon as it knows it: a new call of the origins service asks the daemon in charge, and the daemon saves the build itself if that fails, also because the other one runs an older build of ours. A build without upstreams stops counting as kept well before it is deleted.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -60,6 +60,9 @@
 	failingQuorum = 2
 	// failingCost is added to the score of an upstream reported as failing.
 	failingCost = 2 * time.Second
+	// unkeptPenalty is added to the score of an upstream whose build may be forgotten
+	// in a kill of all daemons. A request that waits longer elsewhere is late anyway.
+	unkeptPenalty = 3 * time.Second
 	// stateTTL is how long the state of an upstream without requests is kept.
 	stateTTL = 30 * time.Second
 )
@@ -79,6 +82,7 @@
 	limits   *ratelimit.Table // that upstreams state
 	risks    *ratelimit.Table // requests that brittle upstreams may reject
 	holdoffs *holdoff.Table   // upstreams that asked for no requests
+	isKept   func(catalog.Build) bool
 
 	mu           sync.Mutex
 	upstreams    map[catalog.Key]*upstreamState
@@ -113,7 +117,7 @@
 	return &Balancer{
 		opts: opts, holdoffs: holdoff.New(opts.OnHoldoff), limits: ratelimit.New(ratelimit.Options{}), risks: ratelimit.New(ratelimit.Options{}), brittle: make(map[string]brittleness),
 		upstreams: make(map[catalog.Key]*upstreamState), lanes: make(map[string]lane), stores: make(map[uint32]storeState),
-		held: holders.New(heldMax), pending: holders.New(pendingMax),
+		held: holders.New(heldMax), pending: holders.New(pendingMax), isKept: func(catalog.Build) bool { return true },
 	}
 }
 
@@ -121,6 +125,10 @@
 // must be called before any other method.
 func (b *Balancer) UseLimits(t *ratelimit.Table) { b.limits, b.risks = t, t.Sibling() }
 
+// UseKept sets the function that tells whether the daemons remember that a build served
+// even if all of them restart. It must be called before any other method.
+func (b *Balancer) UseKept(isKept func(catalog.Build) bool) { b.isKept = isKept }
+
 // Pick chooses an upstream for w and counts the request as running there until
 // Done. It returns nil when no upstream may take the request.
 func (b *Balancer) Pick(snap *catalog.Snapshot, w *Work, now time.Time) *Pick {
@@ -167,6 +175,9 @@
 		if risky {
 			score += backoffMax
 		}
+		if w.needsOrigin() && !b.isKept(u.Build()) {
+			score += unkeptPenalty
+		}
 		if best == nil || score < bestScore {
 			best, bestScore = c, score
 		}
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -56,8 +56,14 @@
 	Resumable bool    // may continue at another upstream after it began
 	Tried     []catalog.Key
 	Build     catalog.Build // of the upstreams that may run it; 0: any
+	// CallerResumes tells that the caller may resume the stream through another daemon,
+	// which then has to know the build that began it.
+	CallerResumes bool
 }
 
+// needsOrigin reports whether the upstream's build must be known later on.
+func (w *Work) needsOrigin() bool { return w.CallerResumes && w.Build == 0 }
+
 func (w *Work) wasTried(k catalog.Key) bool {
 	for _, t := range w.Tried {
 		if t == k {
--- a/internal/control/origins/memory.go
+++ b/internal/control/origins/memory.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -12,8 +14,8 @@
 )
 
 const (
-	// savePeriod is the time between two checks for builds to save. A build that was
-	// not saved yet is forgotten in a kill of all daemons.
+	// savePeriod is the time between two checks for builds to save, and between two
+	// tries to save one.
 	savePeriod = time.Second
 	// saveDelay is the time from a daemon's start until it saves builds. Before, it
 	// may not know that another daemon is responsible.
@@ -23,8 +25,14 @@
 	saveAgain = time.Minute
 	// forgetAfter is the time after which a build without upstreams is deleted. No
 	// stream that it began can still be resumed.
-	forgetAfter  = 5 * time.Minute
+	forgetAfter = 5 * time.Minute
+	// keptFor is the time after which a build without upstreams no longer counts as
+	// kept. It is shorter than forgetAfter, so that no daemon relies on a build that
+	// another one has just deleted.
+	keptFor      = forgetAfter / 2
 	storeTimeout = 2 * time.Second
+	// changePause collects the changes of upstreams that come in quick succession.
+	changePause = 50 * time.Millisecond
 )
 
 // SavedBuild is a build that upstreams of a service ran lately.
@@ -42,17 +50,22 @@
 }
 
 // memory keeps the builds of all upstreams in a BuildStore. Of each build one daemon
-// is in charge. Its state is owned by the goroutine of run, but for loaded.
+// is in charge, which the others ask to save it.
 type memory struct {
 	store    BuildStore
 	watcher  *catalog.Watcher
 	recorder event.Recorder
 	self     string
 	view     func() fleet.View
+	// ask makes another daemon save a build and returns once it did.
+	ask func(ctx context.Context, vm fleet.VM, b SavedBuild) error
 
-	loaded  atomic.Pointer[map[SavedBuild]bool] // at the start of this daemon; nil: not yet
-	savedAt map[SavedBuild]time.Time            // when this daemon saved a build
-	seenAt  map[SavedBuild]time.Time            // when an upstream last ran it
+	loaded atomic.Pointer[map[SavedBuild]bool]    // at the start of this daemon; nil: not yet
+	kept   atomic.Pointer[map[catalog.Build]bool] // known to be in the store; the map is never changed
+
+	mu      sync.Mutex               // held while a build is saved
+	savedAt map[SavedBuild]time.Time // when this daemon saved a build
+	seenAt  map[SavedBuild]time.Time // when an upstream last ran it
 }
 
 // run loads the builds, then saves changes until ctx ends.
@@ -61,16 +74,23 @@
 	ticker := time.NewTicker(savePeriod)
 	defer ticker.Stop()
 	for {
-		switch {
-		case m.loaded.Load() == nil:
+		changed := m.watcher.Changed()
+		maySave := time.Since(started) >= saveDelay
+		if m.loaded.Load() == nil {
 			m.load(ctx)
-		case time.Since(started) >= saveDelay:
-			m.saveChanges(ctx, time.Now())
+		}
+		if !maySave || !m.keepAll(ctx) {
+			changed = nil // the next try waits
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			if maySave {
+				m.saveChanges(ctx, time.Now())
+			}
+		case <-changed:
+			time.Sleep(changePause)
 		}
 	}
 }
@@ -84,39 +104,132 @@
 		m.recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "load builds", Err: failure.At("load builds", "store", err)})
 		return
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	loaded := make(map[SavedBuild]bool, len(builds))
+	kept := make(map[catalog.Build]bool, len(builds))
 	for _, b := range builds {
-		loaded[b] = true
+		loaded[b], kept[b.Build] = true, true
 		m.seenAt[b] = time.Now()
 	}
+	m.kept.Store(&kept)
 	m.loaded.Store(&loaded)
 }
 
+// running returns the builds that upstreams run.
+func (m *memory) running() map[SavedBuild]bool {
+	builds := make(map[SavedBuild]bool)
+	for _, u := range m.watcher.Load().Upstreams {
+		builds[SavedBuild{u.Service, u.Build()}] = true
+	}
+	return builds
+}
+
+// isKept reports whether a build is known to be in the store.
+func (m *memory) isKept(b catalog.Build) bool {
+	kept := m.kept.Load()
+	return kept != nil && (*kept)[b]
+}
+
+// setKept notes whether a build is in the store. m.mu is held.
+func (m *memory) setKept(b catalog.Build, isKept bool) {
+	kept := make(map[catalog.Build]bool)
+	if known := m.kept.Load(); known != nil {
+		kept = maps.Clone(*known)
+	}
+	delete(kept, b)
+	if isKept {
+		kept[b] = true
+	}
+	m.kept.Store(&kept)
+}
+
+// keepAll gets each build that an upstream runs and that is not known to be in the
+// store saved, by the daemon in charge or, if that fails, by this one. It reports
+// whether all are there now.
+func (m *memory) keepAll(ctx context.Context) bool {
+	live := m.view().Live()
+	all := true
+	for b := range m.running() {
+		if m.isKept(b.Build) {
+			continue
+		}
+		asked := !m.isInCharge(live, b) && m.askInCharge(ctx, live, b)
+		all = (asked || m.keep(ctx, b)) && all
+	}
+	return all
+}
+
+// askInCharge asks the daemon in charge of b to save it and reports whether it did.
+func (m *memory) askInCharge(ctx context.Context, live []fleet.VM, b SavedBuild) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	for _, vm := range owners(live, uint64(b.Build), 1) {
+		if err := m.ask(ctx, vm, b); err != nil {
+			m.recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "keep build", Peer: vm.Name, Err: err})
+			return false
+		}
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.setKept(b.Build, true)
+		return true
+	}
+	return false
+}
+
+// keep saves a build unless it is known to be in the store, and reports whether it is
+// there now.
+func (m *memory) keep(ctx context.Context, b SavedBuild) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := time.Now()
+	m.seenAt[b] = now
+	if m.isKept(b.Build) {
+		return true
+	}
+	if !m.save(ctx, b, true) {
+		return false
+	}
+	m.savedAt[b] = now
+	m.setKept(b.Build, true)
+	return true
+}
+
 // saveChanges saves the builds that this daemon is in charge of and that are new or
 // were saved long ago, and deletes those that no upstream has run for long.
 func (m *memory) saveChanges(ctx context.Context, now time.Time) {
-	for _, u := range m.watcher.Load().Upstreams {
-		m.seenAt[SavedBuild{u.Service, u.Build()}] = now
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for b := range m.running() {
+		m.seenAt[b] = now
 	}
 	live := m.view().Live()
 	for b, seenAt := range m.seenAt {
-		kept := now.Sub(seenAt) < forgetAfter
-		if !m.inCharge(live, b) || (kept && now.Sub(m.savedAt[b]) < saveAgain) {
-			continue
-		}
-		if !m.save(ctx, b, kept) {
-			continue
+		unseen := now.Sub(seenAt)
+		if unseen >= keptFor && m.isKept(b.Build) {
+			m.setKept(b.Build, false)
 		}
-		m.savedAt[b] = now
-		if !kept {
-			delete(m.seenAt, b)
-			delete(m.savedAt, b)
+		switch {
+		case unseen >= forgetAfter:
+			m.forget(ctx, live, b)
+		case m.isInCharge(live, b) && now.Sub(m.savedAt[b]) >= saveAgain && m.save(ctx, b, true):
+			m.savedAt[b] = now
+			m.setKept(b.Build, unseen < keptFor)
 		}
 	}
 }
 
-// inCharge reports whether this daemon saves b.
-func (m *memory) inCharge(live []fleet.VM, b SavedBuild) bool {
+// forget deletes a build, if this daemon is in charge of it. m.mu is held.
+func (m *memory) forget(ctx context.Context, live []fleet.VM, b SavedBuild) {
+	if !m.isInCharge(live, b) || !m.save(ctx, b, false) {
+		return
+	}
+	delete(m.seenAt, b)
+	delete(m.savedAt, b)
+}
+
+// isInCharge reports whether this daemon saves b.
+func (m *memory) isInCharge(live []fleet.VM, b SavedBuild) bool {
 	first := owners(live, uint64(b.Build), 1)
 	return len(first) == 1 && first[0].Name == m.self
 }
--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/control/origins/originspb"
@@ -80,11 +82,28 @@
 func New(o Options) *Origins {
 	m := &memory{
 		store: o.Store, watcher: o.Watcher, recorder: o.Recorder, self: o.Self, view: o.View,
+		ask:     func(ctx context.Context, vm fleet.VM, b SavedBuild) error { return askToKeep(ctx, o.Pool, vm, b) },
 		savedAt: make(map[SavedBuild]time.Time), seenAt: make(map[SavedBuild]time.Time),
 	}
 	return &Origins{opts: o, hasPending: make(chan struct{}, 1), history: history{watcher: o.Watcher, proof: o.Proof, memory: m}}
 }
 
+// IsKept reports whether a build is known to be in the store, so that it counts as one
+// that may have begun a stream also after a kill of all daemons.
+func (o *Origins) IsKept(b catalog.Build) bool { return o.history.memory.isKept(b) }
+
+// askToKeep makes another daemon save a build.
+func askToKeep(ctx context.Context, pool *peer.Pool, vm fleet.VM, b SavedBuild) error {
+	conn, err := pool.Conn(vm.PeerAddress)
+	if err == nil {
+		_, err = originspb.NewOriginsClient(conn).Keep(ctx, &originspb.KeepRequest{Service: b.Service, Build: uint32(b.Build)})
+	}
+	if err != nil {
+		return failure.At("keep build", vm.Name, err)
+	}
+	return nil
+}
+
 // Register registers the gRPC service with server.
 func (o *Origins) Register(server *grpc.Server) { originspb.RegisterOriginsServer(server, o) }
 
@@ -279,3 +298,14 @@
 	known := o.history.builds(r.GetServices(), time.Duration(r.GetWindowMs())*time.Millisecond)
 	return &originspb.FindReply{Build: uint32(o.known.get(r.GetStream())), OnlyBuild: uint32(known.sure())}, nil
 }
+
+// Keep implements the gRPC service.
+func (o *Origins) Keep(ctx context.Context, r *originspb.KeepRequest) (*originspb.KeepReply, error) {
+	if r.GetBuild() == 0 || r.GetService() == "" {
+		return nil, status.Error(codes.InvalidArgument, "service or build is missing")
+	}
+	if !o.history.memory.keep(ctx, SavedBuild{r.GetService(), catalog.Build(r.GetBuild())}) {
+		return nil, status.Error(codes.Unavailable, "the store did not save the build")
+	}
+	return &originspb.KeepReply{}, nil
+}
--- a/internal/control/origins/origins_test.go
+++ b/internal/control/origins/origins_test.go
@@ -289,3 +289,62 @@
 	step("for long", forgetAfter/2, 1, 2)
 	step("deleted", time.Second, 1, 0)
 }
+
+// A new build must be known as kept at each daemon after one save, or after more if the
+// daemon in charge doesn't answer, and not while the store does not save it.
+func TestNewBuildIsKept(t *testing.T) {
+	b := SavedBuild{testService, catalog.BuildOf(testService, "v1")}
+	for name, tc := range map[string]struct {
+		err         error // of the store
+		inChargeOut bool  // the daemon in charge doesn't answer
+		kept        bool
+		saves       int
+	}{
+		"saved":                              {nil, false, true, 1},
+		"the daemon in charge is away":       {nil, true, true, 3},
+		"the store is away":                  {errors.New("away"), false, false, 0},
+		"neither of them answers the others": {errors.New("away"), true, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			nodes := startNodes(t, 4)
+			shared := &fakeStore{builds: make(map[SavedBuild]bool), err: tc.err}
+			for _, n := range nodes {
+				n.history.memory.store = shared
+				n.putUpstream("a", "v1")
+				if m := n.history.memory; tc.inChargeOut && m.isInCharge(m.view().Live(), b) {
+					n.stop()
+				}
+			}
+			for _, n := range nodes {
+				m := n.history.memory
+				if tc.inChargeOut && m.isInCharge(m.view().Live(), b) {
+					continue
+				}
+				if all := m.keepAll(t.Context()); all != tc.kept || n.IsKept(b.Build) != tc.kept {
+					t.Errorf("%s: kept %t, all %t", n.vm.Name, n.IsKept(b.Build), all)
+				}
+			}
+			if shared.saves != tc.saves {
+				t.Errorf("%d saves, want %d", shared.saves, tc.saves)
+			}
+		})
+	}
+}
+
+// A build that no upstream runs any more must not count as kept when it is deleted.
+func TestDeletedBuildIsNotKept(t *testing.T) {
+	n := startNodes(t, 1)[0]
+	n.history.memory.store = &fakeStore{builds: make(map[SavedBuild]bool)}
+	n.putUpstream("a", "v1")
+	now := time.Now()
+	n.history.memory.saveChanges(t.Context(), now)
+	b := catalog.BuildOf(testService, "v1")
+	if !n.IsKept(b) {
+		t.Error("a saved build is not kept")
+	}
+	n.watcher.RemoveUpstream("a")
+	n.history.memory.saveChanges(t.Context(), now.Add(keptFor))
+	if n.IsKept(b) {
+		t.Error("a build without upstreams is kept until it is deleted")
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -163,7 +163,10 @@
 
 // work returns the request as the balancer sees it.
 func (q *request) work() *balance.Work {
-	w := &balance.Work{Service: q.service.Name, Group: q.cacheGroup(), Resumable: q.resumable(), Tried: q.tried, Build: q.build}
+	w := &balance.Work{
+		Service: q.service.Name, Group: q.cacheGroup(), Resumable: q.resumable(), Tried: q.tried, Build: q.build,
+		CallerResumes: q.route.Kind == catalog.Stream && q.route.Resumable,
+	}
 	if q.service.Engine != nil {
 		w.Prompt = q.Prompt
 	}
