Take up a stream without a record only after a read of the upstreams

Cause here: without a record of a stream, a daemon went by the only version of the upstreams that it had read up to 6 s ago. A version that had joined since and begun the stream through another daemon was unknown to it. If its view of the fleet had shrunk to itself it asked nobody; if it asked, a daemon that had seen two versions answered like one that knew nothing.

Ruled out: that a record is ignored (it comes first, as before).

If the store doesn't answer within 500 ms the request is refused as origin_unknown. Owners say if they have seen several versions (new field; older builds leave it out).

--- a/internal/control/origins/history.go
+++ b/internal/control/origins/history.go
@@ -24,6 +24,7 @@
 type buildsKnown struct {
 	only    catalog.Build // the only one; 0: there are none or several
 	several bool
+	seen    bool  // several, all of them seen by this daemon
 	err     error // why some may not be known
 }
 
@@ -42,8 +43,10 @@
 	if !h.proof.Within(registryMaxAge, freshness.Now()) {
 		k.err = fmt.Errorf("the upstreams were last read more than %v ago", registryMaxAge)
 	}
+	seen := 0
 	for _, service := range services {
 		builds, all := h.watcher.BuildsOf(service, window)
+		seen += len(builds)
 		if !all && !h.memory.add(builds, service) {
 			k.err = fmt.Errorf("the upstreams of service %s are known for less than %v, and no earlier ones were loaded", service, window)
 		}
@@ -52,6 +55,7 @@
 			k.only = b
 		}
 	}
+	k.seen = seen > 1
 	if k.several {
 		k.only, k.err = 0, fmt.Errorf("upstreams ran several versions in the last %v", window)
 	}
--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -40,6 +40,7 @@
 	recordPeriod  = 25 * time.Millisecond
 	recordTimeout = 300 * time.Millisecond
 	findTimeout   = 200 * time.Millisecond
+	proveTimeout  = 500 * time.Millisecond
 	// ownersWritten is the number of owners of a stream. It is not lost unless all
 	// of them stop.
 	ownersWritten = 3
@@ -56,7 +57,10 @@
 	Recorder event.Recorder
 	Watcher  *catalog.Watcher // of the upstreams
 	Proof    *freshness.Proof // of the time at which the upstreams were the newest
-	Store    BuildStore
+	// Prove makes sure that the upstreams known here were the newest at an instant, or
+	// returns an error.
+	Prove func(ctx context.Context, at freshness.Instant) error
+	Store BuildStore
 }
 
 // Origins keeps the builds of streams. It is safe for concurrent use.
@@ -202,35 +206,62 @@
 // upstreams ran in that time. An empty attempt is one that the caller didn't name.
 // The error tells why the build is not known.
 func (o *Origins) FindBuild(ctx context.Context, attempt string, services []string, window time.Duration) (catalog.Build, error) {
-	own := o.history.builds(services, window)
-	if attempt == "" && own.sure() != 0 {
-		return own.only, nil
-	}
 	request := &originspb.FindRequest{Services: services, WindowMs: uint32(window.Milliseconds())}
-	asked := rand.Uint64() // no daemon has a record: any may know that there was one build
 	if attempt != "" {
 		request.Stream = rendezvous.Hash(attempt)
-		asked = request.GetStream()
 	}
 	if b := o.known.get(request.GetStream()); b != 0 {
 		return b, nil
 	}
-	found, err := o.askOwners(ctx, asked, request)
+	arrived := freshness.Now()
+	others, err := o.askOthers(ctx, request)
+	if others.build != 0 || err != nil {
+		return others.build, err
+	}
+	if err := o.prove(ctx, arrived); err != nil {
+		return 0, err
+	}
+	return onlyBuild(o.history.builds(services, window), others)
+}
+
+// askOthers asks the owners of a stream for its build, or any daemons for the only one
+// if the caller didn't name the stream and this daemon is not sure of it.
+func (o *Origins) askOthers(ctx context.Context, r *originspb.FindRequest) (answer, error) {
+	if r.GetStream() != 0 {
+		return o.askOwners(ctx, r.GetStream(), r)
+	}
+	if o.history.builds(r.GetServices(), time.Duration(r.GetWindowMs())*time.Millisecond).sure() != 0 {
+		return answer{}, nil
+	}
+	others, err := o.askOwners(ctx, rand.Uint64(), r)
+	if err != nil && others.only != 0 {
+		err = nil // no daemon has a record: those that answered suffice
+	}
+	return others, err
+}
+
+// prove makes sure that this daemon knows all upstreams that registered before an
+// instant: one of them may have begun the stream.
+func (o *Origins) prove(ctx context.Context, at freshness.Instant) error {
+	ctx, cancel := context.WithTimeout(ctx, proveTimeout)
+	defer cancel()
+	return o.opts.Prove(ctx, at)
+}
+
+// onlyBuild returns the only build that may have begun a stream of which nobody has a
+// record, by what this daemon and others know.
+func onlyBuild(own buildsKnown, others answer) (catalog.Build, error) {
 	switch {
-	case found.build != 0:
-		return found.build, nil
 	case own.several:
 		return 0, own.err
-	case found.several || (own.only != 0 && found.only != 0 && own.only != found.only):
+	case others.several || (own.only != 0 && others.only != 0 && own.only != others.only):
 		return 0, errors.New("daemons know different versions of the upstreams")
-	case err != nil && attempt != "":
-		return 0, err
 	case own.sure() != 0:
 		return own.only, nil
-	case found.only != 0:
-		return found.only, nil
+	case others.only != 0:
+		return others.only, nil
 	}
-	return 0, errors.Join(own.err, err, errors.New("no other daemon knows the upstreams for long enough"))
+	return 0, errors.Join(own.err, errors.New("no other daemon knows the upstreams for long enough"))
 }
 
 // askOwners sends r to the owners of a stream. It returns the first recorded build
@@ -255,7 +286,7 @@
 		if a.build != 0 {
 			return a, nil
 		}
-		result.several = result.several || (a.only != 0 && result.only != 0 && a.only != result.only)
+		result.several = result.several || a.several || (a.only != 0 && result.only != 0 && a.only != result.only)
 		result.only = max(result.only, a.only)
 		failures = append(failures, a.err)
 	}
@@ -266,7 +297,7 @@
 type answer struct {
 	build   catalog.Build // recorded; 0: none
 	only    catalog.Build // the only one that upstreams ran; 0: there are several or not all are known
-	several bool          // the owners know different ones
+	several bool          // an owner knows several, or the owners know different ones
 	err     error
 }
 
@@ -280,7 +311,7 @@
 	if err != nil {
 		return answer{err: failure.At("find origin", vm.Name, err)}
 	}
-	return answer{build: catalog.Build(reply.GetBuild()), only: catalog.Build(reply.GetOnlyBuild())}
+	return answer{build: catalog.Build(reply.GetBuild()), only: catalog.Build(reply.GetOnlyBuild()), several: reply.GetSeveral()}
 }
 
 // Record implements the gRPC service.
@@ -296,7 +327,7 @@
 // Find implements the gRPC service.
 func (o *Origins) Find(_ context.Context, r *originspb.FindRequest) (*originspb.FindReply, error) {
 	known := o.history.builds(r.GetServices(), time.Duration(r.GetWindowMs())*time.Millisecond)
-	return &originspb.FindReply{Build: uint32(o.known.get(r.GetStream())), OnlyBuild: uint32(known.sure())}, nil
+	return &originspb.FindReply{Build: uint32(o.known.get(r.GetStream())), OnlyBuild: uint32(known.sure()), Several: known.seen}, nil
 }
 
 // Keep implements the gRPC service.
--- a/internal/control/origins/origins_test.go
+++ b/internal/control/origins/origins_test.go
@@ -30,6 +30,7 @@
 	watcher *catalog.Watcher
 	proof   *freshness.Proof
 	stop    func() // ends the daemon
+	prove   func() error
 }
 
 // find calls FindBuild for the test's service.
@@ -60,13 +61,14 @@
 		t.Cleanup(func() { cancel(); pool.Close(); _ = logs.Close() })
 		vm := fleet.VM{Name: fmt.Sprint("vm-", i), PeerAddress: server.Address(), State: fleet.Alive}
 		watcher, proof := catalog.NewWatcher(), &freshness.Proof{}
-		o := New(Options{
+		n := &node{vm: vm, watcher: watcher, proof: proof, stop: func() { cancel(); server.Stop() }, prove: func() error { return nil }}
+		n.Origins = New(Options{
 			Pool: pool, Self: vm.Name, Recorder: logs, View: func() fleet.View { return fleet.View{VMs: vms} },
-			Watcher: watcher, Proof: proof, Store: &fakeStore{},
+			Watcher: watcher, Proof: proof, Prove: func(context.Context, freshness.Instant) error { return n.prove() }, Store: &fakeStore{},
 		})
-		o.Register(server.Server)
+		n.Register(server.Server)
 		go func() { _ = server.Run(ctx) }()
-		nodes[i] = &node{o, vm, watcher, proof, func() { cancel(); server.Stop() }}
+		nodes[i] = n
 		vms = append(vms, vm)
 	}
 	return nodes
@@ -160,6 +162,22 @@
 				n.proof.RecordRead(1, freshness.Now().Add(-2*registryMaxAge))
 			}
 		}, 0, 0},
+		"this daemon has not read yet of another version": {func(nodes []*node) {
+			all(nodes, "a", "v1")
+			time.Sleep(2 * testWindow)
+			nodes[0].prove = func() error { nodes[0].putUpstream("b", "v2"); return nil }
+		}, 0, 0},
+		"this daemon can't read whether there is another version": {func(nodes []*node) {
+			all(nodes, "a", "v1")
+			time.Sleep(2 * testWindow)
+			nodes[0].prove = func() error { return errors.New("the store does not answer") }
+		}, 0, 0},
+		"another daemon has seen two versions": {func(nodes []*node) {
+			all(nodes, "a", "v1")
+			time.Sleep(2 * testWindow)
+			nodes[4].putUpstream("b", "v2")
+			nodes[4].watcher.RemoveUpstream("b")
+		}, 0, v1},
 		"an owner does not answer": {func(nodes []*node) {
 			all(nodes, "a", "v1")
 			time.Sleep(2 * testWindow)
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -58,6 +58,9 @@
 	Proof    *freshness.Proof // of the time at which the configuration was the newest
 	// RegistryProof is of the time at which the upstreams were the newest.
 	RegistryProof *freshness.Proof
+	// ProveRegistry makes sure that the upstreams known here were the newest at an
+	// instant.
+	ProveRegistry func(ctx context.Context, at freshness.Instant) error
 	Builds        origins.BuildStore // keeps the upstreams' builds beyond the life of all daemons
 	Recorder      event.Recorder
 	// Departures delivers the upstreams that this daemon has read to be leaving.
@@ -101,7 +104,7 @@
 	})
 	p.carrier, p.tunnels = p.newTunnels()
 	p.origins = origins.New(origins.Options{
-		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof, Store: o.Builds,
+		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof, Prove: o.ProveRegistry, Store: o.Builds,
 	})
 	p.membership.Register(p.server.Server)
 	p.exchange.Register(p.server.Server)
