Use no odd entry among those of the upstreams

Reported by another operator: one odd entry (deep nesting, a number too large, a port out of range) ended the daemons that read the list, or stopped them.

An entry of a service that nobody configured, with the address of a replica and a later start, kept all requests from that replica.

Cause: the adapter checked what it needs itself, not what later users of a field rely on.

--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -30,8 +30,8 @@
 // is none.
 func (s *Snapshot) ByShortID(shortID uint32) *Upstream { return s.byShortID[shortID] }
 
-// AtAddress returns the upstream that has the address, host:port, or nil. If there are
-// several, it is the one that started last.
+// AtAddress returns the upstream of a configured service that has the address,
+// host:port, or nil. If there are several, it is the one that started last.
 func (s *Snapshot) AtAddress(address string) *Upstream { return s.addresses[address] }
 
 // IsReplaced reports whether another upstream has u's address and started later: u has
@@ -81,6 +81,7 @@
 			return
 		}
 		s.Config = c
+		s.index()
 		taken = true
 	})
 	return taken
@@ -184,8 +185,12 @@
 	}
 }
 
-// indexAddress adds u to the index of upstreams by address.
+// indexAddress adds u to the index of upstreams by address, unless no service of the
+// configuration has it: such an upstream takes nobody's address.
 func (s *Snapshot) indexAddress(u *Upstream) {
+	if s.Config != nil && s.Config.Services[u.Service] == nil {
+		return
+	}
 	other := s.addresses[u.Address]
 	s.shared = s.shared || other != nil
 	if other == nil || other.Started < u.Started {
--- a/internal/control/origins/memory.go
+++ b/internal/control/origins/memory.go
@@ -116,11 +116,15 @@
 	m.loaded.Store(&loaded)
 }
 
-// running returns the builds that upstreams run.
+// running returns the builds that upstreams run, but for those of services that are not
+// configured.
 func (m *memory) running() map[SavedBuild]bool {
 	builds := make(map[SavedBuild]bool)
-	for _, u := range m.watcher.Load().Upstreams {
-		builds[SavedBuild{u.Service, u.Build()}] = true
+	snap := m.watcher.Load()
+	for _, u := range snap.Upstreams {
+		if snap.Config == nil || snap.Config.Services[u.Service] != nil {
+			builds[SavedBuild{u.Service, u.Build()}] = true
+		}
 	}
 	return builds
 }
