Save versions again at once after a restore of the store

On the path of the report about joined streams: a restore of the store from a copy loses the builds that were kept since the copy, and they were saved again only within a minute. A kill of all daemons in that time forgot them.

Change: after a restore no build counts as kept, so that each is saved again at the next check, through the daemon in charge, and streams go first to those that are.

--- a/internal/control/origins/memory.go
+++ b/internal/control/origins/memory.go
@@ -21,7 +21,7 @@
 	// may not know that another daemon is responsible.
 	saveDelay = 3 * time.Second
 	// saveAgain is the time after which a build is saved again, in case the store
-	// lost it.
+	// lost it unnoticed.
 	saveAgain = time.Minute
 	// forgetAfter is the time after which a build without upstreams is deleted. No
 	// stream that it began can still be resumed.
@@ -57,6 +57,7 @@
 	recorder event.Recorder
 	self     string
 	view     func() fleet.View
+	restored <-chan struct{} // delivers a value after the store was restored from a copy
 	// ask makes another daemon save a build and returns once it did.
 	ask func(ctx context.Context, vm fleet.VM, b SavedBuild) error
 
@@ -91,6 +92,8 @@
 			}
 		case <-changed:
 			time.Sleep(changePause)
+		case <-m.restored:
+			m.forgetKept()
 		}
 	}
 }
@@ -148,6 +151,15 @@
 	m.kept.Store(&kept)
 }
 
+// forgetKept makes all builds count as not kept, so that those that the store has lost
+// are saved again.
+func (m *memory) forgetKept() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.kept.Store(nil)
+	clear(m.savedAt)
+}
+
 // keepAll gets each build that an upstream runs and that is not known to be in the
 // store saved, by the daemon in charge or, if that fails, by this one. It reports
 // whether all are there now.
--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -61,6 +61,8 @@
 	// returns an error.
 	Prove func(ctx context.Context, at freshness.Instant) error
 	Store BuildStore
+	// Restored delivers a value after the store lost what was written since a copy.
+	Restored <-chan struct{}
 }
 
 // Origins keeps the builds of streams. It is safe for concurrent use.
@@ -85,7 +87,7 @@
 // New returns Origins that know no stream.
 func New(o Options) *Origins {
 	m := &memory{
-		store: o.Store, watcher: o.Watcher, recorder: o.Recorder, self: o.Self, view: o.View,
+		store: o.Store, watcher: o.Watcher, recorder: o.Recorder, self: o.Self, view: o.View, restored: o.Restored,
 		ask:     func(ctx context.Context, vm fleet.VM, b SavedBuild) error { return askToKeep(ctx, o.Pool, vm, b) },
 		savedAt: make(map[SavedBuild]time.Time), seenAt: make(map[SavedBuild]time.Time),
 	}
--- a/internal/control/origins/origins_test.go
+++ b/internal/control/origins/origins_test.go
@@ -349,6 +349,36 @@
 	}
 }
 
+// Guards against builds that are forgotten because the store was restored from a copy
+// that doesn't have them.
+func TestBuildsAreKeptAgainAfterARestore(t *testing.T) {
+	nodes := startNodes(t, 3)
+	shared := &fakeStore{builds: make(map[SavedBuild]bool)}
+	for _, n := range nodes {
+		n.history.memory.store = shared
+		n.putUpstream("a", "v1")
+		n.history.memory.keepAll(t.Context())
+	}
+	clear(shared.builds)
+	shared.saves = 0
+	for _, n := range nodes {
+		n.history.memory.forgetKept()
+	}
+	b := catalog.BuildOf(testService, "v1")
+	if nodes[0].IsKept(b) {
+		t.Error("a build that the store has lost counts as kept")
+	}
+	for _, n := range nodes {
+		n.history.memory.keepAll(t.Context())
+		if !n.IsKept(b) {
+			t.Errorf("%s: the build is not kept", n.vm.Name)
+		}
+	}
+	if len(shared.builds) != 1 || shared.saves != 1 {
+		t.Errorf("%d builds after %d saves, want 1 after 1", len(shared.builds), shared.saves)
+	}
+}
+
 // A build that no upstream runs any more must not count as kept when it is deleted.
 func TestDeletedBuildIsNotKept(t *testing.T) {
 	n := startNodes(t, 1)[0]
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -61,8 +61,10 @@
 	// ProveRegistry makes sure that the upstreams known here were the newest at an
 	// instant.
 	ProveRegistry func(ctx context.Context, at freshness.Instant) error
-	Builds        origins.BuildStore // keeps the upstreams' builds beyond the life of all daemons
-	Recorder      event.Recorder
+	// Restored delivers a value after the store was restored from a copy.
+	Restored <-chan struct{}
+	Builds   origins.BuildStore // keeps the upstreams' builds beyond the life of all daemons
+	Recorder event.Recorder
 	// Departures delivers the upstreams that this daemon has read to be leaving.
 	Departures <-chan catalog.Key
 	// Dial opens this daemon's own connections to upstreams.
@@ -104,7 +106,7 @@
 	})
 	p.carrier, p.tunnels = p.newTunnels()
 	p.origins = origins.New(origins.Options{
-		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof, Prove: o.ProveRegistry, Store: o.Builds,
+		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof, Prove: o.ProveRegistry, Store: o.Builds, Restored: o.Restored,
 	})
 	p.membership.Register(p.server.Server)
 	p.exchange.Register(p.server.Server)
