--- a/internal/control/origins/memory.go
+++ b/internal/control/origins/memory.go
@@ -178,19 +178,20 @@
 
 // askInCharge asks the daemon in charge of b to save it and reports whether it did.
 func (m *memory) askInCharge(ctx context.Context, live []fleet.VM, b SavedBuild) bool {
+	vm, ok := inCharge(live, b)
+	if !ok {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	for _, vm := range owners(live, uint64(b.Build), 1) {
-		if err := m.ask(ctx, vm, b); err != nil {
-			m.recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "keep build", Peer: vm.Name, Err: err})
-			return false
-		}
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.setKept(b.Build, true)
-		return true
+	if err := m.ask(ctx, vm, b); err != nil {
+		m.recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "keep build", Peer: vm.Name, Err: err})
+		return false
 	}
-	return false
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.setKept(b.Build, true)
+	return true
 }
 
 // keep saves a build unless it is known to be in the store, and reports whether it is
@@ -244,10 +245,19 @@
 	delete(m.savedAt, b)
 }
 
+// inCharge returns the daemon that saves b, if any lives.
+func inCharge(live []fleet.VM, b SavedBuild) (fleet.VM, bool) {
+	first := owners(live, uint64(b.Build), 1)
+	if len(first) == 0 {
+		return fleet.VM{}, false
+	}
+	return first[0], true
+}
+
 // isInCharge reports whether this daemon saves b.
 func (m *memory) isInCharge(live []fleet.VM, b SavedBuild) bool {
-	first := owners(live, uint64(b.Build), 1)
-	return len(first) == 1 && first[0].Name == m.self
+	vm, ok := inCharge(live, b)
+	return ok && vm.Name == m.self
 }
 
 // save saves or deletes a build and reports whether that succeeded.
