Look back as long as a stream may have lasted, also after a shorter timeout

On the path of the reports about joined streams: a stream without a record goes on if its service ran one version for as long as a request of the route may last. That was the route's present timeout. A configuration that shortened it made a version that had just left count as long gone, while callers that had begun streams on it still waited.

Change: the time is the longest timeout that any configuration since the start of the daemon gave to resumable streams.

Evidence: TestTakenUpStreamAfterAShorterTimeout failed before (status 200, events [v2 v2] for a stream that v1 may have begun).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -119,6 +119,19 @@
 	Limits     Limits
 }
 
+// longestStream returns the longest timeout of the routes of resumable streams.
+func (c *Config) longestStream() time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range c.Routes {
+		for _, r := range routes {
+			if r.Kind == Stream && r.Resumable {
+				longest = max(longest, r.Timeout)
+			}
+		}
+	}
+	return longest
+}
+
 // AddService adds a service and its cache store, if it has one.
 func (c *Config) AddService(s *Service) {
 	c.Services[s.Name] = s
--- a/internal/catalog/watcher.go
+++ b/internal/catalog/watcher.go
@@ -13,13 +13,17 @@
 
 // Snapshot is an immutable view of the catalog.
 type Snapshot struct {
-	Config    *Config // nil until the first configuration is in force
-	Upstreams map[string]*Upstream
-	Weights   map[string]WeightsTarget // by model
-	byService map[string][]*Upstream
-	byShortID map[uint32]*Upstream
-	addresses map[string]*Upstream // see AtAddress
-	shared    bool                 // some upstreams have an address in common
+	Config *Config // nil until the first configuration is in force
+	// LongestStream is the longest timeout that a route of resumable streams has had in
+	// any configuration that was in force: a caller may take its stream up so long after
+	// it began.
+	LongestStream time.Duration
+	Upstreams     map[string]*Upstream
+	Weights       map[string]WeightsTarget // by model
+	byService     map[string][]*Upstream
+	byShortID     map[uint32]*Upstream
+	addresses     map[string]*Upstream // see AtAddress
+	shared        bool                 // some upstreams have an address in common
 }
 
 // UpstreamsOf returns the upstreams of a service, sorted by id and including
@@ -81,6 +85,7 @@
 			return
 		}
 		s.Config = c
+		s.LongestStream = max(s.LongestStream, c.longestStream())
 		s.index()
 		taken = true
 	})
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -48,7 +48,7 @@
 	if g.opts.Origins == nil || !q.resumesStream() {
 		return nil
 	}
-	build, err := g.opts.Origins.FindBuild(q.ctx, q.FirstAttempt, servicesOf(q.route), q.route.Timeout)
+	build, err := g.opts.Origins.FindBuild(q.ctx, q.FirstAttempt, servicesOf(q.route), max(q.snap.LongestStream, q.route.Timeout))
 	if err != nil {
 		return refusal.New(refusal.OriginUnknown, "it is not known which version of the upstream began the stream").
 			WithRetryAfter(originRetryAfter).WithCause(err)
