Log how far a request came whose caller has left, and measure waits for a processor

Ruled out: a timer of our own, as the runtime keeps the histogram already. Conclusion: a late send shows as a long time with a send, a starved daemon in the histogram. Tests: TestCancelledLineTellsHowFarTheRequestCame, TestWaitsForAProcessorAreShown.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -86,7 +86,7 @@
 	case event.RequestServed:
 		return x.servedCause(last)
 	case event.RequestCancelled:
-		return "the caller disconnected" + x.failedAttempts()
+		return "the caller disconnected: " + last.Detail + x.failedAttempts()
 	case event.StreamBroken:
 		return "the answer broke off after part of it was relayed" + x.failedAttempts()
 	case event.RequestRefused:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -291,7 +292,7 @@
 	}
 	switch {
 	case q.callerCtx.Err() != nil || errors.Is(err, errCallerGone):
-		e.ID, outcome = event.RequestCancelled, outcomeCancelled
+		e.ID, outcome, e.Detail = event.RequestCancelled, outcomeCancelled, q.progress()
 		q.w.Abort()
 	case q.headSent:
 		e.ID, outcome = event.StreamBroken, outcomeBroken
@@ -306,6 +307,16 @@
 	return outcome, reason
 }
 
+// progress describes for the log how far a request had come when it was given up.
+func (q *request) progress() string {
+	last := "none"
+	if n := len(q.reached); n > 0 {
+		last = q.reached[n-1]
+	}
+	return fmt.Sprintf("route %s, after %v, sends %d, latest address %s, last event %d",
+		q.routeName(), time.Since(q.arrived).Round(time.Millisecond), len(q.reached), last, q.lastRelayed)
+}
+
 // jitter returns a random delay from d to 1.5 d, so that refused callers don't
 // all retry at once.
 func jitter(d time.Duration) time.Duration {
--- a/internal/gateway/logging_test.go
+++ b/internal/gateway/logging_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
 	"regexp"
 	"slices"
@@ -165,3 +166,26 @@
 		}
 	}
 }
+
+// The line of a request whose caller has left must tell how long it had been here and
+// whether it was sent, and the metrics how long goroutines wait for a processor.
+func TestCancelledLineTellsHowFarTheRequestCame(t *testing.T) {
+	began := make(chan struct{})
+	r := newReplica(t, func(_ http.ResponseWriter, req *http.Request) {
+		_, _ = io.Copy(io.Discard, req.Body)
+		close(began)
+		<-req.Context().Done()
+	})
+	f := start(t, r)
+	c := f.caller(t)
+	_, _ = io.WriteString(c, rawRequest(http.MethodPost, "/once/", "call", "body"))
+	<-began
+	time.Sleep(20 * time.Millisecond)
+	_ = c.Close()
+	f.completeLog(t)
+	for _, want := range []string{`"message":"request_cancelled"`, "route /once/, after ", "sends 1, latest address " + strings.TrimPrefix(r.URL, "http://")} {
+		if !strings.Contains(f.logs.String(), want) {
+			t.Errorf("no %q in %s", want, f.logs)
+		}
+	}
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"regexp"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -29,11 +30,16 @@
 	inFlight prometheus.Gauge
 }
 
+// schedulerWaits matches the histogram of the times that goroutines waited for a
+// processor. It shows a daemon that acts late.
+var schedulerWaits = regexp.MustCompile("^/sched/latencies:seconds$")
+
 // NewRegistry returns a registry with the metrics of the Go runtime and the
 // process.
 func NewRegistry() *prometheus.Registry {
 	r := prometheus.NewRegistry()
-	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	waits := collectors.WithGoCollectorRuntimeMetrics(collectors.GoRuntimeMetricsRule{Matcher: schedulerWaits})
+	r.MustRegister(collectors.NewGoCollector(waits), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return r
 }
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -90,3 +90,11 @@
 		t.Errorf("got %d time series", n)
 	}
 }
+
+// The metrics must show how long goroutines wait for a processor.
+func TestWaitsForAProcessorAreShown(t *testing.T) {
+	n, err := testutil.GatherAndCount(NewRegistry(), "go_sched_latencies_seconds")
+	if err != nil || n != 1 {
+		t.Errorf("%d metrics, %v", n, err)
+	}
+}
