--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -18,7 +18,7 @@
 var requestEvents = []Definition{
 	{RequestServed, "request_served", Debug, "A request was answered in full."},
 	{RequestRefused, "request_refused", Info, "A request was refused; detail has the code and whether it ran."},
-	{RequestCancelled, "request_cancelled", Info, "The caller disconnected; the upstream was told to cancel the request."},
+	{RequestCancelled, "request_cancelled", Info, "The caller disconnected; the upstream was told to cancel the request. The detail tells how long the request had been here and how often it was sent."},
 	{AttemptFailed, "attempt_failed", Warn, "An attempt at an upstream failed."},
 	{AttemptRetried, "attempt_retried", Info, "A request is retried at another upstream."},
 	{StreamResumed, "stream_resumed", Info, "An interrupted stream was resumed at its next event."},
