Send no request whose caller has left by then

Cause: a goroutine that begins to read beside the handler sees the end of a caller's connection. A daemon that reads a request late has its end in the kernel already, and sends the request before that goroutine runs. Class: a fact that the kernel has is believed only once a goroutine happened to fetch it. Ruled out: waiting for the read ahead before each handler, which delays every request by a turn of the scheduler; a longer check in the gateway only, which leaves the own mode and requests that wait for a dial. Change: package presence carries a check of the caller in the request's context. The server asks the kernel (POLLRDHUP) before the handler, upstream.RoundTripAs right before a send and again after a dial. Both modes, carried connections and repeats go through these. Conclusion: between the question and the send there is no wait left.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,6 +175,9 @@
 	if err := g.resolve(q); err != nil {
 		return err
 	}
+	if q.callerCtx.Err() != nil {
+		return errCallerGone
+	}
 	var cancel context.CancelFunc
 	q.ctx, cancel = context.WithDeadline(q.callerCtx, q.deadline)
 	defer cancel()
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -54,7 +54,7 @@
 	net.Conn // tcp, or the TLS connection over it
 	server   *Server
 	nbConn   *nbhttp.Conn
-	tcp      net.Conn
+	tcp      *net.TCPConn
 
 	in        *bufio.Reader  // of Conn
 	out       []byte         // checked, not yet returned to nbhttp
@@ -76,11 +76,11 @@
 	readAheadDone chan struct{} // closed when the read ahead ends
 }
 
-// newConn wraps the connection of outer, with TLS if the server uses it.
-func newConn(s *Server, outer *nbhttp.Conn) *conn {
-	c := &conn{server: s, nbConn: outer, tcp: outer.Conn, Conn: outer.Conn}
+// newConn wraps tcp, the connection of outer, with TLS if the server uses it.
+func newConn(s *Server, outer *nbhttp.Conn, tcp *net.TCPConn) *conn {
+	c := &conn{server: s, nbConn: outer, tcp: tcp, Conn: tcp}
 	if s.opts.TLS != nil {
-		c.Conn = tls.Server(outer.Conn, s.opts.TLS)
+		c.Conn = tls.Server(tcp, s.opts.TLS)
 	}
 	c.in = bufio.NewReaderSize(c.Conn, readBuffer)
 	return c
@@ -336,8 +336,8 @@
 // caller that takes the end of the connection for that of the response gets a reset.
 func (c *conn) abort() {
 	c.ended.Store(true)
-	if t, ok := c.tcp.(*net.TCPConn); ok && c.unframed.Load() {
-		_ = t.SetLinger(0)
+	if c.unframed.Load() {
+		_ = c.tcp.SetLinger(0)
 	}
 	_ = c.tcp.Close()
 }
--- a/internal/server/linger.go
+++ b/internal/server/linger.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"crypto/tls"
 	"io"
-	"net"
 	"time"
 )
 
@@ -25,9 +24,7 @@
 	if t, ok := c.Conn.(*tls.Conn); ok {
 		_ = t.CloseWrite()
 	}
-	if t, ok := c.tcp.(*net.TCPConn); ok {
-		_ = t.CloseWrite()
-	}
+	_ = c.tcp.CloseWrite()
 }
 
 // linger discards what the caller still sends, for at most lingerTimeout, and closes
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -24,6 +24,7 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"currantpulley/internal/presence"
 	"currantpulley/internal/refusal"
 )
 
@@ -159,7 +160,11 @@
 	if !ok {
 		return
 	}
-	c := newConn(s, outer)
+	tcp, ok := outer.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	c := newConn(s, outer, tcp)
 	outer.Conn = c
 	s.mu.Lock()
 	s.conns[outer] = c
@@ -186,7 +191,8 @@
 	delete(s.conns, outer)
 }
 
-// serve calls the handler for one request.
+// serve calls the handler for one request. The request's context ends when the caller
+// disconnects; presence.HasLeft asks the kernel whether it has.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	res, ok := w.(*nbhttp.Response)
 	if !ok {
@@ -210,6 +216,14 @@
 	defer s.activeRequests.Add(-1)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	ctx = presence.With(ctx, func() bool {
+		hasLeft := c.hasHungUp()
+		if hasLeft {
+			cancel()
+		}
+		return hasLeft
+	})
+	presence.HasLeft(ctx)
 	out := newWriter(c, r, s.opts.Limits().WriteTimeout)
 	c.startReadAhead(cancel)
 	defer func() {
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+
+	"currantpulley/internal/presence"
 )
 
 // ErrClosedAfterSend is the error of a request whose reused connection broke after a
@@ -16,6 +18,9 @@
 // TRACE and those with an idempotency key.
 var ErrClosedAfterSend = errors.New("the connection closed after the request was sent on it")
 
+// ErrCallerLeft is the error of a request that was not sent because its caller had left.
+var ErrCallerLeft = errors.New("the caller has left")
+
 // Reply is the response to one request, whose body is not read yet, and how it was
 // got.
 type Reply struct {
@@ -44,7 +49,7 @@
 	return r.conn
 }
 
-// RoundTrip sends req over t at most once: the transport may try another connection
+// RoundTrip sends req over t at most once, and not if its caller has left: the transport may try another connection
 // only as long as no byte of the request was written. Its error is a *SendError, which
 // tells whether a byte may have been sent. t must be a transport of NewTransport or
 // NewOnceTransport; with others, a request counts as sent once it has a connection.
@@ -56,8 +61,11 @@
 // carries it on which it was refused before; see Reply.NoteRefused. A body of req must have
 // a GetBody.
 func RoundTripAs(t http.RoundTripper, req *http.Request, id string) (*Reply, error) {
+	if presence.HasLeft(req.Context()) {
+		return nil, &SendError{Err: ErrCallerLeft}
+	}
 	ctx, cancel := context.WithCancelCause(req.Context())
-	s := &singleSend{cancel: cancel, id: id}
+	s := &singleSend{cancel: cancel, id: id, hasLeft: func() bool { return presence.HasLeft(ctx) }}
 	trace := &httptrace.ClientTrace{GetConn: s.getConn, GotConn: s.gotConn}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	res, err := t.RoundTrip(req) //nolint:bodyclose // closed by the caller
@@ -110,8 +118,9 @@
 // singleSend lets a transport send one request on one connection only. Transports
 // call gotConn once for each connection, one call after the other.
 type singleSend struct {
-	cancel context.CancelCauseFunc // of the request
-	id     string                  // of the request; empty: not given
+	cancel  context.CancelCauseFunc // of the request
+	id      string                  // of the request; empty: not given
+	hasLeft func() bool             // reports whether its caller has left
 
 	mu     sync.Mutex
 	conn   net.Conn // the latest; nil: none yet
@@ -135,7 +144,8 @@
 }
 
 // gotConn notes the connection on which the request is about to be sent. If a byte
-// was written to an earlier one, it makes the transport give up instead.
+// was written to an earlier one, or its caller has left, it makes the transport give up
+// instead.
 func (s *singleSend) gotConn(info httptrace.GotConnInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,6 +157,13 @@
 		s.cancel(ErrClosedAfterSend)
 		return
 	}
+	if !info.Reused && s.hasLeft() { // meanwhile a connection was opened
+		if ok {
+			tracked.seal()
+		}
+		s.cancel(ErrCallerLeft)
+		return
+	}
 	s.conn, s.reused = info.Conn, info.Reused
 	s.passed = ok && s.id != "" && tracked.hasRefused(s.id)
 	if s.passed {
