See the end of a caller's connection behind bytes that were not read

Class: a watch that ends on a condition that has nothing to do with what it watches for. Ruled out: a larger buffer, which moves the limit and costs memory; reading and dropping, which loses requests. Change: with a full buffer the read ahead waits for the hang-up of the connection and reads nothing. Conclusion: what a caller has sent early no longer hides that it left. Not seen: an end that is behind more than the kernel's receive buffer holds, as it has not arrived yet.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -300,13 +300,18 @@
 	go c.readAhead(cancel, c.readAheadDone)
 }
 
-// readAhead reads until the buffer is full, the caller disconnects or stopReadAhead
-// sets a deadline in the past.
+// readAhead reads until the caller disconnects or stopReadAhead sets a deadline in the
+// past. Once the buffer is full, it only waits for the end of the connection.
 func (c *conn) readAhead(cancel context.CancelFunc, done chan struct{}) {
 	defer close(done)
 	for {
 		_, err := c.in.Peek(c.in.Buffered() + 1)
-		if errors.Is(err, bufio.ErrBufferFull) || errors.Is(err, os.ErrDeadlineExceeded) {
+		if errors.Is(err, bufio.ErrBufferFull) {
+			if err = c.awaitHangup(); err == nil {
+				err = io.EOF
+			}
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
 		if err != nil {
--- a/internal/server/hangup.go
+++ b/internal/server/hangup.go
@@ -24,3 +24,13 @@
 	err = raw.Control(func(fd uintptr) { ended = hasHungUp(fd) })
 	return err != nil || ended
 }
+
+// awaitHangup waits for the end of the caller's connection and reads nothing. It
+// returns an error if the read deadline passes or the connection is closed here.
+func (c *conn) awaitHangup() error {
+	raw, err := c.tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Read(hasHungUp)
+}
