Ask for the caller when the bytes are written, and close the upstream's connection at once

Cause: between the question and the write a goroutine of the transport has to run, and between the caller's leaving and the close of the upstream's connection another one. Each waits its turn behind all others that are ready. Class: a fact is known, and what follows from it waits for a goroutine. Ruled out: closing whatever connection the request had: another request may have got it from the pool by then. Change: the tracked connection asks for the caller before the first byte of a request; presence.OnLeave runs the close of the connection where the leaving is seen, if the request still has it. Conclusion: what is left between the question and the write are two system calls.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
@@ -291,18 +290,18 @@
 }
 
 // startReadAhead reads from the connection while a handler runs, as net/http
-// does, and calls cancel when the caller disconnects.
-func (c *conn) startReadAhead(cancel context.CancelFunc) {
+// does, and calls leave when the caller disconnects.
+func (c *conn) startReadAhead(leave func()) {
 	c.started = false
 	_ = c.tcp.SetReadDeadline(time.Time{})
 	c.early.Store(c.in.Buffered() > 0)
 	c.readAheadDone = make(chan struct{})
-	go c.readAhead(cancel, c.readAheadDone)
+	go c.readAhead(leave, c.readAheadDone)
 }
 
 // readAhead reads until the caller disconnects or stopReadAhead sets a deadline in the
 // past. Once the buffer is full, it only waits for the end of the connection.
-func (c *conn) readAhead(cancel context.CancelFunc, done chan struct{}) {
+func (c *conn) readAhead(leave func(), done chan struct{}) {
 	defer close(done)
 	for {
 		_, err := c.in.Peek(c.in.Buffered() + 1)
@@ -316,7 +315,7 @@
 		}
 		if err != nil {
 			c.readError = err
-			cancel()
+			leave()
 			return
 		}
 		c.early.Store(true)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -192,7 +192,7 @@
 }
 
 // serve calls the handler for one request. The request's context ends when the caller
-// disconnects; presence.HasLeft asks the kernel whether it has.
+// disconnects.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	res, ok := w.(*nbhttp.Response)
 	if !ok {
@@ -214,18 +214,11 @@
 	_, _, _ = res.Hijack() // Writer writes the response
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
-	ctx, cancel := context.WithCancel(context.Background())
+	caller, ctx, cancel := presence.New(context.Background(), c.hasHungUp)
 	defer cancel()
-	ctx = presence.With(ctx, func() bool {
-		hasLeft := c.hasHungUp()
-		if hasLeft {
-			cancel()
-		}
-		return hasLeft
-	})
-	presence.HasLeft(ctx)
+	caller.Check()
 	out := newWriter(c, r, s.opts.Limits().WriteTimeout)
-	c.startReadAhead(cancel)
+	c.startReadAhead(caller.Leave)
 	defer func() {
 		c.stopReadAhead()
 		out.finish()
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -66,6 +66,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(req.Context())
 	s := &singleSend{cancel: cancel, id: id, hasLeft: func() bool { return presence.HasLeft(ctx) }}
+	stop := presence.OnLeave(ctx, s.close)
 	trace := &httptrace.ClientTrace{GetConn: s.getConn, GotConn: s.gotConn}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	res, err := t.RoundTrip(req) //nolint:bodyclose // closed by the caller
@@ -73,10 +74,11 @@
 		res, err = t.RoundTrip(req) //nolint:bodyclose // closed by the caller
 	}
 	if err != nil {
+		stop()
 		cancel(err)
 		return nil, s.failed(err)
 	}
-	res.Body = &cancellingBody{ReadCloser: res.Body, cancel: cancel}
+	res.Body = &cancellingBody{ReadCloser: res.Body, cancel: cancel, stop: stop}
 	reply := &Reply{Response: res, Reused: s.reused, conn: s.conn, id: id}
 	if res.StatusCode == http.StatusSwitchingProtocols {
 		reply.Discard()
@@ -102,15 +104,18 @@
 // protocol. net/http hands out the connection as its body, which no deadline ends.
 var errSwitched = fmt.Errorf("%w: it switches to another protocol", ErrMalformed)
 
-// cancellingBody releases the context of a request when its response is closed.
+// cancellingBody releases the context of a request, and stops waiting for its caller to
+// leave, when its response is closed.
 type cancellingBody struct {
 	io.ReadCloser
 	cancel context.CancelCauseFunc
+	stop   func()
 }
 
 // Close implements io.Closer.
 func (b *cancellingBody) Close() error {
 	err := b.ReadCloser.Close()
+	b.stop()
 	b.cancel(context.Canceled)
 	return err
 }
@@ -144,8 +149,7 @@
 }
 
 // gotConn notes the connection on which the request is about to be sent. If a byte
-// was written to an earlier one, or its caller has left, it makes the transport give up
-// instead.
+// was written to an earlier one, it makes the transport give up instead.
 func (s *singleSend) gotConn(info httptrace.GotConnInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -157,20 +161,24 @@
 		s.cancel(ErrClosedAfterSend)
 		return
 	}
-	if !info.Reused && s.hasLeft() { // meanwhile a connection was opened
-		if ok {
-			tracked.seal()
-		}
-		s.cancel(ErrCallerLeft)
-		return
-	}
 	s.conn, s.reused = info.Conn, info.Reused
 	s.passed = ok && s.id != "" && tracked.hasRefused(s.id)
 	if s.passed {
 		tracked.seal() // the write fails, after which the transport closes the connection
 	}
 	if ok {
-		s.before = tracked.bytesWritten()
+		s.before = tracked.begin(s)
+	}
+}
+
+// close closes the connection on which the request was sent, unless another request
+// has it by now.
+func (s *singleSend) close() {
+	s.mu.Lock()
+	conn := s.conn
+	s.mu.Unlock()
+	if tracked, ok := conn.(*trackedConn); ok {
+		tracked.closeFor(s)
 	}
 }
 
--- a/internal/upstream/roundtrip_test.go
+++ b/internal/upstream/roundtrip_test.go
@@ -73,7 +73,7 @@
 	}
 	_ = b.Close()
 	<-done
-	if n := c.bytesWritten(); n != 1 {
+	if n := c.begin(nil); n != 1 {
 		t.Errorf("%d bytes count as written after a write of one, want 1", n)
 	}
 }
--- a/internal/upstream/trackedconn.go
+++ b/internal/upstream/trackedconn.go
@@ -20,6 +20,8 @@
 	written int64 // bytes that were handed to the kernel, or may be by a write in progress
 	sealed  bool
 	refused refusals
+	send    *singleSend // latest request that got the connection
+	begun   bool        // a byte of that request was handed to the kernel
 }
 
 // dialTracked returns a dial function whose connections are trackedConns.
@@ -33,8 +35,41 @@
 	}
 }
 
-// Write implements net.Conn. It writes nothing to a sealed connection.
+// begin gives the connection to the request s and returns the number of bytes that were
+// written before.
+func (c *trackedConn) begin(s *singleSend) (written int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.send, c.begun = s, false
+	return c.written
+}
+
+// closeFor closes the connection if s is the latest request that got it.
+func (c *trackedConn) closeFor(s *singleSend) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.send == s {
+		_ = c.Close()
+	}
+}
+
+// beginning returns the request of which no byte was written yet; nil: one was.
+func (c *trackedConn) beginning() *singleSend {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun {
+		return nil
+	}
+	c.begun = true
+	return c.send
+}
+
+// Write implements net.Conn. It writes nothing to a sealed connection, and nothing of a
+// request whose caller has left by then.
 func (c *trackedConn) Write(p []byte) (int, error) {
+	if s := c.beginning(); s != nil && s.hasLeft() {
+		return 0, ErrCallerLeft
+	}
 	if err := c.reserve(len(p)); err != nil {
 		return 0, err
 	}
@@ -75,16 +110,8 @@
 	return c.refused.contain(id)
 }
 
-// bytesWritten returns the number of bytes that were written, or may be by a write
-// in progress.
-func (c *trackedConn) bytesWritten() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.written
-}
-
-// seal forbids all further writes and returns what bytesWritten returns from now on,
-// or more.
+// seal forbids all further writes and returns the number of bytes that were written, or
+// may be by a write in progress.
 func (c *trackedConn) seal() int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
