See in time that callers leave a busy daemon

Cause: the goroutine that reads ahead becomes ready with the end of the connection and waits its turn behind all that are ready. With many, that is seconds. Ruled out: priorities, which the runtime doesn't have; fewer goroutines, which only moves the load at which it happens. A goroutine that a timer wakes runs next.

--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -66,6 +66,7 @@
 	activeRequests atomic.Int64
 	draining       atomic.Bool
 	closingIdle    atomic.Bool
+	sweeper        sweeper
 
 	mu     sync.Mutex
 	conns  map[*nbhttp.Conn]*conn
@@ -217,6 +218,8 @@
 	caller, ctx, cancel := presence.New(context.Background(), c.hasHungUp)
 	defer cancel()
 	caller.Check()
+	s.sweeper.add(caller)
+	defer s.sweeper.remove(caller)
 	out := newWriter(c, r, s.opts.Limits().WriteTimeout)
 	c.startReadAhead(caller.Leave)
 	defer func() {
