Answer what a stopping daemon has taken

Cause: a stopping daemon took requests without regard to its own end, and closed all connections at that end. Ruled out: refusing all whose allowed time passes the end; what may be repeated or resumed mostly ends in time. Change: from the signal on, requests that may not be repeated are refused as not run if they may outlast the daemon.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -114,6 +114,13 @@
 	if q.callerCtx.Err() != nil {
 		return errCallerGone
 	}
+	stopping := g.ending.Err() != nil
+	if stopping && q.runs == 0 {
+		return errStopping().WithCause(f)
+	}
+	if stopping {
+		return refusal.NewUnknown(refusal.Draining, f, "this router stopped before the answer was whole")
+	}
 	if q.runs == 0 {
 		return refusal.New(refusal.Overloaded, "no upstream took the request").WithRetryAfter(g.retryAfter(q)).WithCause(f)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,8 +54,10 @@
 // server.Server.
 type Gateway struct {
 	opts        Options
-	draining    atomic.Bool
+	endsAt      atomic.Pointer[time.Time] // at which EndRequests is called; nil: not draining
 	stopped     atomic.Bool
+	ending      context.Context // ends with EndRequests
+	endRequests context.CancelFunc
 	endedChecks singleflight.Group // of upstreams, by id
 }
 
@@ -71,21 +73,28 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(quarantine.Options{})
 	}
-	return &Gateway{opts: o}
+	g := &Gateway{opts: o}
+	g.ending, g.endRequests = context.WithCancel(context.Background())
+	return g
 }
 
 // Drain makes the gateway not ready and closes each connection after its next
-// response.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+// response. Requests that may not be repeated, and may not be answered by end, are
+// refused from now on.
+func (g *Gateway) Drain(end time.Time) { g.endsAt.Store(&end) }
 
 // Refuse makes the gateway refuse all new requests. It is called before the
 // process ends.
 func (g *Gateway) Refuse() { g.stopped.Store(true) }
 
+// EndRequests ends the requests that are in progress. Their callers are told whether they
+// may have run, unless a part of the response was relayed.
+func (g *Gateway) EndRequests() { g.endRequests() }
+
 // Ready reports whether the load balancer in front of the daemon should send
 // requests to it.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.opts.Watcher.Load().Config != nil && g.configFresh()
+	return g.endsAt.Load() == nil && g.opts.Watcher.Load().Config != nil && g.configFresh()
 }
 
 // configFresh reports whether the configuration was proved to be the newest
@@ -141,7 +150,7 @@
 		return
 	}
 	q := &request{callerCtx: r.Context(), w: sw, r: r, arrived: time.Now()}
-	if g.draining.Load() {
+	if g.endsAt.Load() != nil {
 		sw.CloseAfter()
 	}
 	g.opts.Metrics.RequestStarted()
@@ -181,6 +190,7 @@
 	var cancel context.CancelFunc
 	q.ctx, cancel = context.WithDeadline(q.callerCtx, q.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.ending, cancel)()
 	body, err := io.ReadAll(q.r.Body)
 	if err != nil {
 		return refusal.New(refusal.BadRequest, "the body could not be read").WithCause(err)
@@ -206,7 +216,7 @@
 func (g *Gateway) resolve(q *request) error {
 	q.snap = g.opts.Watcher.Load()
 	if g.stopped.Load() {
-		return refusal.New(refusal.Draining, "this router is stopping").WithRetryAfter(stoppedRetryAfter)
+		return errStopping()
 	}
 	if q.snap.Config == nil {
 		return refusal.New(refusal.NoConfiguration, "no configuration is in force here yet").WithRetryAfter(noConfigRetryAfter)
@@ -232,9 +242,18 @@
 	if q.MaxWait > 0 && (q.route.Timeout == 0 || q.MaxWait < q.route.Timeout) {
 		q.deadline = q.arrived.Add(q.MaxWait)
 	}
+	if end := g.endsAt.Load(); end != nil && q.deadline.After(*end) && !q.route.MayRepeat() {
+		return errStopping()
+	}
 	return nil
 }
 
+// errStopping returns the refusal of a request that did not run because this daemon is
+// stopping.
+func errStopping() *refusal.Error {
+	return refusal.New(refusal.Draining, "this router is stopping").WithRetryAfter(stoppedRetryAfter)
+}
+
 // authenticate finds the workspace of the request's key. It refuses a request
 // whose route needs a key when the key is unknown or can't be checked.
 func (g *Gateway) authenticate(q *request) error {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -389,7 +389,7 @@
 func TestStoppingDaemonRefuses(t *testing.T) {
 	r := newReplica(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) })
 	f := start(t, r)
-	f.gateway.Drain()
+	f.gateway.Drain(time.Now().Add(time.Minute))
 	c, err := net.Dial("tcp", f.address)
 	if err != nil {
 		t.Fatal(err)
