Let calls with an idempotency key go on when their callers leave

Change: presence.Detach gives the calls a context without a caller. Conclusion: the only place that detaches a request from its caller does so for the new check too.

--- a/internal/filter/idempotency/idempotency.go
+++ b/internal/filter/idempotency/idempotency.go
@@ -16,6 +16,7 @@
 	"currantpulley/internal/control/calls/callspb"
 	"currantpulley/internal/event"
 	"currantpulley/internal/pipe"
+	"currantpulley/internal/presence"
 	"currantpulley/internal/refusal"
 )
 
@@ -86,7 +87,7 @@
 func (f *Filter) trackCall(x *pipe.Exchange, call *calls.Call) {
 	caller := x.Ctx
 	answer := &capture{ResponseWriter: x.Writer}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), callTimeout(x))
+	ctx, cancel := context.WithTimeout(presence.Detach(caller), callTimeout(x))
 	x.Ctx = context.WithValue(ctx, activeCallKey{}, &activeCall{call: call, caller: caller, answer: answer, cancel: cancel})
 	x.Writer = answer
 	x.BeforeSend = func() error { return call.CheckSend(caller, x.Sent) }
--- a/internal/presence/presence.go
+++ b/internal/presence/presence.go
@@ -59,6 +59,12 @@
 	return ok && c.Check()
 }
 
+// Detach returns a context with the values of ctx that has no caller: what it is used for
+// goes on when the caller leaves.
+func Detach(ctx context.Context) context.Context {
+	return context.WithValue(context.WithoutCancel(ctx), key{}, nil)
+}
+
 // OnLeave calls f, which must not block, when the caller of the request with ctx leaves,
 // at once if it has left, and without a goroutine of its own: on a busy machine, that
 // would run late. stop takes f back; f may still be running after it.
--- a/internal/presence/presence_test.go
+++ b/internal/presence/presence_test.go
@@ -30,6 +30,11 @@
 	if len(ran) != 2 || ran[0] != "a" || ran[1] != "b" {
 		t.Errorf("ran %v", ran)
 	}
+	detached := presence.Detach(ctx)
+	presence.OnLeave(detached, note("detached"))
+	if presence.HasLeft(detached) || detached.Err() != nil || len(ran) != 2 {
+		t.Error("a detached context ends with the caller")
+	}
 	if presence.HasLeft(context.Background()) {
 		t.Error("a context without a caller has one that left")
 	}
