Send nothing on a kept connection that the upstream has closed

What callers saw: 502 with the effect unknown for calls that may not be repeated and had not arrived anywhere. Change: the tracked connection asks the kernel before the first byte of a request on a reused connection. The transport takes another connection. Package hangup holds the question for both ends. Conclusion: what the kernel knows at both ends is asked for before a send.

--- a/internal/detour/silence.go
+++ b/internal/detour/silence.go
@@ -1,9 +1,12 @@
 package detour
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"currantpulley/internal/freshness"
@@ -68,6 +71,14 @@
 	silence *silence
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *watchedConn) SyscallConn() (syscall.RawConn, error) {
+	if conn, ok := c.Conn.(syscall.Conn); ok {
+		return conn.SyscallConn()
+	}
+	return nil, fmt.Errorf("connection to %s: %w", c.address, errors.ErrUnsupported)
+}
+
 // Read implements net.Conn.
 func (c *watchedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/hangup/hangup.go
+++ b/internal/hangup/hangup.go
@@ -1,36 +1,47 @@
-package server
+// Package hangup tells whether the peer of a TCP connection has closed it, without reading
+// from it. A goroutine that reads learns that too, but only once it runs.
+package hangup
 
-import "golang.org/x/sys/unix"
+import (
+	"errors"
+	"syscall"
 
-// hangupEvents are the events of poll(2) that show the end of a connection: the peer
-// closed it or its sending side, or it broke.
-const hangupEvents = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	"golang.org/x/sys/unix"
+)
 
-// hasHungUp reports whether the kernel knows the end of the connection fd, also behind
+// events are the events of poll(2) that show the end of a connection: the peer closed it
+// or its sending side, or it broke.
+const events = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+
+// hasCome reports whether the kernel knows the end of the connection fd, also behind
 // bytes that were not read yet.
-func hasHungUp(fd uintptr) bool {
+func hasCome(fd uintptr) bool {
 	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 	n, err := unix.Poll(fds, 0)
-	return err == nil && n > 0 && fds[0].Revents&hangupEvents != 0
+	return err == nil && n > 0 && fds[0].Revents&events != 0
 }
 
-// hasHungUp reports whether the caller has closed its connection or its sending side.
-func (c *conn) hasHungUp() bool {
-	raw, err := c.tcp.SyscallConn()
+// HasCome reports whether the peer of c has closed the connection or its sending side. A
+// connection that is closed here counts, too.
+func HasCome(c syscall.Conn) bool {
+	raw, err := c.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return false // not a connection of the kernel
+	}
 	if err != nil {
-		return true // it is closed
+		return true
 	}
 	ended := false
-	err = raw.Control(func(fd uintptr) { ended = hasHungUp(fd) })
+	err = raw.Control(func(fd uintptr) { ended = hasCome(fd) })
 	return err != nil || ended
 }
 
-// awaitHangup waits for the end of the caller's connection and reads nothing. It
-// returns an error if the read deadline passes or the connection is closed here.
-func (c *conn) awaitHangup() error {
-	raw, err := c.tcp.SyscallConn()
+// Await waits for the end of c and reads nothing. It returns an error if the read
+// deadline passes or the connection is closed here.
+func Await(c syscall.Conn) error {
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return err
 	}
-	return raw.Read(hasHungUp)
+	return raw.Read(hasCome)
 }
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -18,6 +18,7 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 
+	"currantpulley/internal/hangup"
 	"currantpulley/internal/refusal"
 )
 
@@ -306,7 +307,7 @@
 	for {
 		_, err := c.in.Peek(c.in.Buffered() + 1)
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if err = c.awaitHangup(); err == nil {
+			if err = hangup.Await(c.tcp); err == nil {
 				err = io.EOF
 			}
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -24,6 +24,7 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"currantpulley/internal/hangup"
 	"currantpulley/internal/presence"
 	"currantpulley/internal/refusal"
 )
@@ -215,7 +216,7 @@
 	_, _, _ = res.Hijack() // Writer writes the response
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
-	caller, ctx, cancel := presence.New(context.Background(), c.hasHungUp)
+	caller, ctx, cancel := presence.New(context.Background(), func() bool { return hangup.HasCome(c.tcp) })
 	defer cancel()
 	caller.Check()
 	s.sweeper.add(caller)
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 
+	"currantpulley/internal/hangup"
 	"currantpulley/internal/presence"
 )
 
@@ -21,6 +23,9 @@
 // ErrCallerLeft is the error of a request that was not sent because its caller had left.
 var ErrCallerLeft = errors.New("the caller has left")
 
+// errHungUp is the error of a write to a kept connection that the upstream has closed.
+var errHungUp = errors.New("the upstream has closed the connection")
+
 // Reply is the response to one request, whose body is not read yet, and how it was
 // got.
 type Reply struct {
@@ -171,6 +176,21 @@
 	}
 }
 
+// mayBegin returns an error if no byte of the request should be written to conn: its
+// caller has left, or the upstream has closed the connection since its last response.
+func (s *singleSend) mayBegin(conn net.Conn) error {
+	if s.hasLeft() {
+		return ErrCallerLeft
+	}
+	s.mu.Lock()
+	reused := s.reused
+	s.mu.Unlock()
+	if c, ok := conn.(syscall.Conn); ok && reused && hangup.HasCome(c) {
+		return errHungUp
+	}
+	return nil
+}
+
 // close closes the connection on which the request was sent, unless another request
 // has it by now.
 func (s *singleSend) close() {
--- a/internal/upstream/trackedconn.go
+++ b/internal/upstream/trackedconn.go
@@ -65,10 +65,12 @@
 }
 
 // Write implements net.Conn. It writes nothing to a sealed connection, and nothing of a
-// request whose caller has left by then.
+// request that may not begin.
 func (c *trackedConn) Write(p []byte) (int, error) {
-	if s := c.beginning(); s != nil && s.hasLeft() {
-		return 0, ErrCallerLeft
+	if s := c.beginning(); s != nil {
+		if err := s.mayBegin(c.Conn); err != nil {
+			return 0, err
+		}
 	}
 	if err := c.reserve(len(p)); err != nil {
 		return 0, err
