Let callers of the soak leave early and at once, and check that the work for them ends

Cause: the soak's check GONE knew late arrivals only, and callers left in 0.03 of the calls, on idle connections. Change: callers leave in 0.08 of the calls, most after a part of their next request, and in 0.01 in the segment of the request; upstreams that hold a slot record when their work ended; the check finds work that goes on. The check's planted fault is found.

--- a/bench/soak/caller/caller.go
+++ b/bench/soak/caller/caller.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,7 +40,9 @@
 
 // Shares of requests with which callers do something unusual.
 const (
-	leaveShare     = 0.03 // close the connection before the answer
+	leaveShare     = 0.08 // close the connection before the answer
+	atOnceShare    = 0.01 // close the connection together with the request
+	partShare      = 0.6  // of those that leave: send a part of the next request first
 	halfCloseShare = 0.02 // close their side after the request
 	earlyShare     = 0.04 // send the next request before the answer
 	lookShare      = 0.5  // look for unexpected bytes before they use a kept connection again
@@ -137,6 +141,11 @@
 // exchange sends an attempt on the kept connection, receives its answer and retries
 // if that is allowed.
 func (c *caller) exchange(a *attempt) {
+	if c.chance(atOnceShare) {
+		c.conn.sendAndClose(a)
+		c.recordLeft(a)
+		return
+	}
 	kept := c.conn.send(a)
 	switch {
 	case kept && c.chance(leaveShare):
@@ -173,7 +182,18 @@
 
 // leave closes the connection before the answer.
 func (c *caller) leave(a *attempt) {
+	if c.chance(partShare) {
+		_, _ = io.WriteString(c.conn, partOfNext)
+	}
 	time.Sleep(time.Duration(c.random.Int64N(int64(maxStay))))
+	c.recordLeft(a)
+}
+
+// partOfNext is a part of a request, larger than what daemons buffer.
+var partOfNext = "POST /next HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("b", 8<<10)
+
+// recordLeft drops the connection and records an attempt whose caller has left.
+func (c *caller) recordLeft(a *attempt) {
 	c.drop()
 	a.call.Done, a.call.Outcome = time.Now(), record.Left
 	if c.opts.Plan.Plants(check.RuleGone) {
--- a/bench/soak/caller/conn.go
+++ b/bench/soak/caller/conn.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"currantpulley/bench/soak/record"
 	"currantpulley/bench/soak/site"
 	"currantpulley/platform/standin/names"
@@ -77,6 +79,27 @@
 	return true
 }
 
+// sendAndClose sends an attempt and the end of the connection in one segment, so that
+// a daemon reads the one when it could know of the other.
+func (c *conn) sendAndClose(a *attempt) {
+	a.call.Daemon, a.call.Reused, a.call.Sent = c.daemon, c.used, time.Now()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		setCork(tcp)
+	}
+	_, _ = io.WriteString(c, a.text())
+	c.close()
+}
+
+// setCork makes the kernel keep what is written until the connection is closed. A failure
+// shows as a segment more.
+func setCork(tcp *net.TCPConn) {
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_CORK, 1) })
+}
+
 // outcomeOf returns the outcome of an attempt that failed with err: Late if the
 // caller gave up waiting, else other.
 func outcomeOf(err error, other record.Outcome) record.Outcome {
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -116,6 +116,14 @@
 				r.Arrivals[i].At = call(r, i).Done.Add(goneSlack + time.Millisecond)
 			}
 		}},
+		{"worked on after the caller had left", RuleGone, func(r *record.All) {
+			for i := range goneFew + 1 {
+				c := call(r, i)
+				c.Outcome, c.Status, c.Seal = record.Left, 0, ""
+				end := c.Done.Add(goneSlack + time.Millisecond)
+				r.Works = append(r.Works, record.Work{Attempt: c.Attempt, Upstream: r.Arrivals[i].Upstream, Until: end, Ended: end})
+			}
+		}},
 		{"answer too late", RuleLate, func(r *record.All) { call(r, 7).Done = call(r, 7).Sent.Add(time.Second + site.AnswerSlack + 1) }},
 		{"no answer at all", RuleLate, func(r *record.All) { call(r, 7).Outcome, call(r, 7).Status, call(r, 7).Seal = record.Late, 0, "" }},
 		{"proper calls refused", RuleDenied, func(r *record.All) {
--- a/bench/soak/check/sends.go
+++ b/bench/soak/check/sends.go
@@ -12,6 +12,7 @@
 const (
 	attemptsFew = 3
 	goneFew     = 3
+	workedOnFew = 2
 )
 
 // goneSlack is the time after a caller has left during which its call may still reach
@@ -40,7 +41,7 @@
 }
 
 // Gone checks that hardly any call reaches an upstream well after its caller has left,
-// unless a pause or the network held it up.
+// or is worked on there, unless a pause or the network held it up.
 func Gone(r *record.All) []Finding {
 	left := make(map[string]record.Call)
 	for _, c := range r.Calls {
@@ -48,6 +49,41 @@
 			left[c.Attempt] = c
 		}
 	}
+	return append(arrivedLate(r, left), workedOn(r, left)...)
+}
+
+// maxWorkedOn is the share of the calls that would have lasted longer of which upstreams
+// may still work well after their callers have left.
+const maxWorkedOn = 0.25
+
+// workedOn finds calls on which upstreams worked well after their callers had left.
+func workedOn(r *record.All, left map[string]record.Call) []Finding {
+	var counted int
+	var late []record.Work
+	for _, w := range r.Works {
+		c, ok := left[w.Attempt]
+		end := c.Done.Add(goneSlack)
+		if !ok || !w.Until.After(end) {
+			continue
+		}
+		c.Done = w.Ended
+		if disturbed(r, c, w.Upstream) {
+			continue
+		}
+		counted++
+		if w.Ended.After(end) {
+			late = append(late, w)
+		}
+	}
+	if len(late) <= workedOnFew || float64(len(late)) <= maxWorkedOn*float64(counted) {
+		return nil
+	}
+	return []Finding{{RuleGone, late[0].Ended, fmt.Sprintf("%d of %d were worked on, the first: %s at %s, left at %s", len(late), counted,
+		late[0].Attempt, late[0].Upstream, left[late[0].Attempt].Done.Format("05.000"))}}
+}
+
+// arrivedLate finds calls that reached upstreams well after their callers had left.
+func arrivedLate(r *record.All, left map[string]record.Call) []Finding {
 	var late []record.Arrival
 	for _, a := range r.Arrivals {
 		c, ok := left[a.Attempt]
--- a/bench/soak/record/record.go
+++ b/bench/soak/record/record.go
@@ -38,6 +38,14 @@
 	Pause    time.Duration `json:"pause,omitempty"`   // for which the upstream wants no requests
 }
 
+// Work is work of an upstream on a call, for which the upstream waited.
+type Work struct {
+	Attempt  string    `json:"attempt"`
+	Upstream string    `json:"upstream"` // id of the instance
+	Until    time.Time `json:"until"`    // at which it would have ended by itself
+	Ended    time.Time `json:"ended"`    // earlier if the connection was closed
+}
+
 // Outcome is how a call ended for its caller.
 type Outcome string
 
@@ -112,6 +120,7 @@
 // Line is one line of a file of records. One of its fields is set.
 type Line struct {
 	Arrival  *Arrival  `json:"arrival,omitempty"`
+	Work     *Work     `json:"work,omitempty"`
 	Call     *Call     `json:"call,omitempty"`
 	Span     *Span     `json:"span,omitempty"`
 	Memory   *Memory   `json:"memory,omitempty"`
@@ -154,7 +163,8 @@
 // All holds the records of all processes.
 type All struct {
 	Arrivals   []Arrival // by time
-	Calls      []Call    // by the time at which they were sent
+	Works      []Work
+	Calls      []Call // by the time at which they were sent
 	Spans      []Span
 	Memory     []Memory
 	Recoveries []Recovery
@@ -205,6 +215,8 @@
 	switch {
 	case l.Arrival != nil:
 		a.Arrivals = append(a.Arrivals, *l.Arrival)
+	case l.Work != nil:
+		a.Works = append(a.Works, *l.Work)
 	case l.Call != nil:
 		a.Calls = append(a.Calls, *l.Call)
 	case l.Span != nil:
--- a/bench/soak/upstream/upstream.go
+++ b/bench/soak/upstream/upstream.go
@@ -22,6 +22,7 @@
 	"currantpulley/bench/soak/plan"
 	"currantpulley/bench/soak/record"
 	"currantpulley/bench/soak/site"
+	"currantpulley/internal/hangup"
 	"currantpulley/platform/standin/names"
 )
 
@@ -287,7 +288,7 @@
 	u.record(a)
 	u.recordPlanted(a, r)
 	if a.Trouble == plan.SlotsHeld {
-		time.Sleep(u.between(minHeldWork, maxHeldWork))
+		u.holdSlot(c, a)
 	}
 	time.Sleep(u.between(minWork, maxWork))
 	if u.service == site.Engine {
@@ -296,9 +297,24 @@
 	return u.answerPlain(c, r, a)
 }
 
-func (u *Upstream) record(a record.Arrival) {
-	if err := u.opts.Records.Write(record.Line{Arrival: &a}); err != nil {
-		u.opts.Log.Error().Err(err).Msg("arrival not recorded")
+// holdSlot works on a request for a long time, or until its connection is closed.
+func (u *Upstream) holdSlot(c *connection, a record.Arrival) {
+	w := record.Work{Attempt: a.Attempt, Upstream: u.id, Until: time.Now().Add(u.between(minHeldWork, maxHeldWork))}
+	_ = c.SetReadDeadline(w.Until)
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = hangup.Await(tcp) // fails at the deadline
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	w.Ended = time.Now()
+	u.writeRecord(record.Line{Work: &w})
+}
+
+func (u *Upstream) record(a record.Arrival) { u.writeRecord(record.Line{Arrival: &a}) }
+
+// writeRecord writes one line of records.
+func (u *Upstream) writeRecord(l record.Line) {
+	if err := u.opts.Records.Write(l); err != nil {
+		u.opts.Log.Error().Err(err).Msg("not recorded")
 	}
 }
 
