Keep the error of a caller that left inside package upstream

Cause: the last read of the change: the error was exported and nobody outside uses it; a comment was not wrapped. Change: errCallerLeft, and the comment of RoundTrip. No behaviour changes.

--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -20,8 +20,8 @@
 // TRACE and those with an idempotency key.
 var ErrClosedAfterSend = errors.New("the connection closed after the request was sent on it")
 
-// ErrCallerLeft is the error of a request that was not sent because its caller had left.
-var ErrCallerLeft = errors.New("the caller has left")
+// errCallerLeft is the error of a request that was not sent because its caller had left.
+var errCallerLeft = errors.New("the caller has left")
 
 // errHungUp is the error of a write to a kept connection that the upstream has closed.
 var errHungUp = errors.New("the upstream has closed the connection")
@@ -54,9 +54,9 @@
 	return r.conn
 }
 
-// RoundTrip sends req over t at most once, and not if its caller has left: the transport may try another connection
-// only as long as no byte of the request was written. Its error is a *SendError, which
-// tells whether a byte may have been sent. t must be a transport of NewTransport or
+// RoundTrip sends req over t at most once, and not if its caller has left: the transport
+// may try another connection only as long as no byte of the request was written. Its
+// error is a *SendError, which tells whether a byte may have been sent. t must be a transport of NewTransport or
 // NewOnceTransport; with others, a request counts as sent once it has a connection.
 func RoundTrip(t http.RoundTripper, req *http.Request) (*Reply, error) {
 	return RoundTripAs(t, req, "")
@@ -67,7 +67,7 @@
 // a GetBody.
 func RoundTripAs(t http.RoundTripper, req *http.Request, id string) (*Reply, error) {
 	if presence.HasLeft(req.Context()) {
-		return nil, &SendError{Err: ErrCallerLeft}
+		return nil, &SendError{Err: errCallerLeft}
 	}
 	ctx, cancel := context.WithCancelCause(req.Context())
 	s := &singleSend{cancel: cancel, id: id, hasLeft: func() bool { return presence.HasLeft(ctx) }}
@@ -180,7 +180,7 @@
 // caller has left, or the upstream has closed the connection since its last response.
 func (s *singleSend) mayBegin(conn net.Conn) error {
 	if s.hasLeft() {
-		return ErrCallerLeft
+		return errCallerLeft
 	}
 	s.mu.Lock()
 	reused := s.reused
