Move the lease on orders out of platform/

The lease decides when a daemon may give orders; of the platform it needs only a group that assigns something to one member. Change: internal/control/grouplease has the lease and an interface Group; platform/members.go joins the group. Two tests wait for the end of the handover or read ValidFrom in place of a private field; their checks and bounds are the same. All other tests not run on this commit.

--- a/platform/lease.go
+++ b/internal/control/grouplease/grouplease.go
@@ -1,46 +1,54 @@
-package platform
+// Package grouplease is a lease on orders to engines, built on the membership of a
+// group in a store that assigns the lease to one member at a time.
+package grouplease
 
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"currantpulley/internal/event"
 	"currantpulley/internal/freshness"
-	"currantpulley/platform/store"
 )
 
-// ordersGroup names both the group that all daemons join and its topic. The
-// member that owns partition 0 holds the lease on orders to engines.
-const ordersGroup = "orders"
-
-// ordersLease is the partition whose owner holds the lease.
-var ordersLease = store.Partition{Topic: ordersGroup, Part: 0}
-
 const (
-	leaseTTL    = 2 * time.Second        // after which a member that doesn't renew loses its partitions
-	renewPeriod = 600 * time.Millisecond // mean time between two renewals
-	leaseMargin = 300 * time.Millisecond // by which the holder stops before the lease expires
-	// fencedHandover is the wait of a new holder where engines check fencing tokens.
-	fencedHandover = 400 * time.Millisecond
-	leaveTimeout   = 500 * time.Millisecond
+	// TTL is the time after which a member that doesn't renew its membership loses it.
+	TTL = 2 * time.Second
+	// Margin is the time by which the holder stops before its lease expires.
+	Margin = 300 * time.Millisecond
+
+	renewPeriod  = 600 * time.Millisecond // mean time between two renewals
+	leaveTimeout = 500 * time.Millisecond
 )
 
-// lease is a lease on orders, built on group membership in the store. The member
-// that owns the group's first partition holds the lease until leaseTTL after it
-// sent its last renewal, on a clock that also runs while the VM is suspended.
-// Another member gets the partition only after that time, or once this member
-// has learned that it lost the partition. A new holder waits for handover before
-// its first order, so that orders of two holders are at least that far apart.
-type lease struct {
-	client   *store.Client
-	member   string
+// Assignment is a store's answer to a member of the group.
+type Assignment struct {
+	Era        uint64 // of the store; rises when it is restored from a copy
+	Generation uint64 // of the group; grows with each change of the assignments in an era
+	Holds      bool   // the member is assigned the lease
+}
+
+// Group is the group whose members may hold the lease.
+type Group interface {
+	// Join adds this member to the group, or renews its membership, for TTL. The
+	// generation is that of its last assignment, 0 on the first call.
+	Join(ctx context.Context, generation uint64) (Assignment, error)
+	// Leave ends the membership.
+	Leave(ctx context.Context) error
+}
+
+// Lease is this daemon's part in the lease. The member to which the group assigns it
+// holds it until TTL after it sent its last renewal, on a clock that also runs while
+// the VM is suspended. Another member gets it only after that time, or once this member
+// has learned that it lost the lease. A new holder waits for handover before its first
+// order, so that orders of two holders are at least that far apart.
+type Lease struct {
+	group    Group
 	handover time.Duration // wait of a new holder before its first order
 	recorder event.Recorder
-	unfit    func() bool // reports whether this daemon can't reach engines; set before Run
+	unfit    func() bool // reports whether this daemon can't reach engines
 
 	callMu sync.Mutex // held during a call to the store, so that no renewal follows Leave
 
@@ -48,7 +56,7 @@
 	left       bool   // Leave was called: the lease is not taken any more
 	era        uint64 // of the store in the last answer
 	generation uint64
-	token      uint64            // fencing token, see tokenOf; 0: not held
+	token      uint64            // fencing token, see Assignment.Token; 0: not held
 	refused    uint64            // highest token that an engine refused as outdated
 	outdated   bool              // the present generation gives no newer token than refused
 	joinedAt   freshness.Instant // when the last successful renewal was sent
@@ -56,29 +64,39 @@
 	validUntil freshness.Instant // orders must be sent before this instant
 }
 
-func newLease(c *store.Client, member string, handover time.Duration, r event.Recorder) *lease {
-	return &lease{client: c, handover: handover, recorder: r, member: member, unfit: func() bool { return false }}
+// New returns a lease that is not held. A new holder waits for handover before its first
+// order. A daemon holds no lease while unfit reports that it can't reach engines.
+func New(g Group, handover time.Duration, unfit func() bool, r event.Recorder) *Lease {
+	return &Lease{group: g, handover: handover, recorder: r, unfit: unfit}
 }
 
 // Token implements rollout.Lease. It returns the fencing token and whether orders
 // may be given now.
-func (l *lease) Token() (uint64, bool) {
+func (l *Lease) Token() (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := freshness.Now()
 	return l.token, l.token != 0 && now >= l.validFrom && now < l.validUntil
 }
 
-// held reports whether orders may be given now.
-func (l *lease) held() bool {
+// Held reports whether orders may be given now.
+func (l *Lease) Held() bool {
 	_, held := l.Token()
 	return held
 }
 
+// ValidFrom returns the earliest instant at which this daemon may give orders in its
+// latest tenure.
+func (l *Lease) ValidFrom() freshness.Instant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.validFrom
+}
+
 // Run renews the membership until ctx ends. The periods are jittered.
-func (l *lease) Run(ctx context.Context) {
+func (l *Lease) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		l.renew(ctx)
+		l.Renew(ctx)
 		select {
 		case <-ctx.Done():
 		case <-time.After(renewPeriod - renewPeriod/8 + rand.N(renewPeriod/4)):
@@ -88,7 +106,7 @@
 
 // Leave releases the lease and stops its renewal for good, so that another VM
 // gets it at once.
-func (l *lease) Leave() {
+func (l *Lease) Leave() {
 	l.mu.Lock()
 	l.token, l.left = 0, true
 	l.mu.Unlock()
@@ -96,13 +114,13 @@
 	defer l.callMu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
-	if err := l.client.Leave(ctx, ordersGroup, l.member); err != nil {
+	if err := l.group.Leave(ctx); err != nil {
 		l.recorder.Record(event.Event{ID: event.OrdersReleased, Step: "leave", Err: err})
 	}
 }
 
-// renew joins the group or renews the membership, and updates the lease.
-func (l *lease) renew(ctx context.Context) {
+// Renew joins the group or renews the membership once, and updates the lease.
+func (l *Lease) Renew(ctx context.Context) {
 	l.callMu.Lock()
 	defer l.callMu.Unlock()
 	switch {
@@ -113,7 +131,7 @@
 		return
 	}
 	sent := freshness.Now()
-	a, err := l.client.Join(ctx, ordersGroup, l.member, []string{ordersGroup}, leaseTTL, l.generation)
+	a, err := l.group.Join(ctx, l.generation)
 	restored := err == nil && l.era != 0 && a.Era != l.era
 	if err != nil {
 		return // the lease expires without a renewal; the followers record the outage of the store
@@ -124,19 +142,19 @@
 		l.markLost()
 	}
 	l.era, l.generation = a.Era, a.Generation
-	l.joinedAt, l.validUntil = sent, sent.Add(leaseTTL-leaseMargin)
-	if !slices.Contains(a.Owned, ordersLease) {
+	l.joinedAt, l.validUntil = sent, sent.Add(TTL-Margin)
+	if !a.Holds {
 		l.markLost()
 		return
 	}
 	if l.token == 0 && !l.left {
-		l.take(tokenOf(a), restored)
+		l.take(a.Token(), restored)
 	}
 }
 
 // take takes the lease with a token, unless an engine has refused it or a newer one.
 // l.mu is held.
-func (l *lease) take(token uint64, restored bool) {
+func (l *Lease) take(token uint64, restored bool) {
 	if token <= l.refused {
 		l.outdated = true
 		return
@@ -148,7 +166,7 @@
 
 // Refused implements rollout.Lease. The daemon leaves the group with the next renewal,
 // so that another member gets the lease, or this one in a later generation.
-func (l *lease) Refused(token uint64) {
+func (l *Lease) Refused(token uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if token != l.token {
@@ -160,14 +178,14 @@
 }
 
 // hasLeft reports whether Leave was called.
-func (l *lease) hasLeft() bool {
+func (l *Lease) hasLeft() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.left
 }
 
 // isOutdated reports whether the lease can only be taken in a later generation.
-func (l *lease) isOutdated() bool {
+func (l *Lease) isOutdated() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.outdated
@@ -180,14 +198,14 @@
 // mayHaveLapsed reports whether the membership may have lapsed since the last
 // successful renewal and another member held the lease, although a assigns it to this
 // one again. l.mu is held.
-func (l *lease) mayHaveLapsed(a store.Assignment, now freshness.Instant) bool {
+func (l *Lease) mayHaveLapsed(a Assignment, now freshness.Instant) bool {
 	changed := a.Generation < l.generation || a.Generation >= l.generation+changesOfATurn
-	return changed && now.Sub(l.joinedAt) >= leaseTTL
+	return changed && now.Sub(l.joinedAt) >= TTL
 }
 
 // release gives up the membership while this daemon is unfit or its token outdated, so
 // that another one gives orders. It does nothing if the daemon is no member.
-func (l *lease) release(ctx context.Context) {
+func (l *Lease) release(ctx context.Context) {
 	l.mu.Lock()
 	member := l.generation != 0
 	l.generation, l.outdated = 0, false
@@ -198,7 +216,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	if err := l.client.Leave(ctx, ordersGroup, l.member); err != nil {
+	if err := l.group.Leave(ctx); err != nil {
 		l.recorder.Record(event.Event{ID: event.OrdersReleased, Step: "leave", Err: err})
 	}
 }
@@ -206,22 +224,22 @@
 // generationBits is the number of bits of a token that hold the generation.
 const generationBits = 32
 
-// tokenOf returns the fencing token of a holder to which a assigns the lease: the
+// Token returns the fencing token of a holder to which a assigns the lease: the
 // generation, below the era of the store, which gives out generations again when it
 // is restored from a copy.
-func tokenOf(a store.Assignment) uint64 { return a.Era<<generationBits | a.Generation }
+func (a Assignment) Token() uint64 { return a.Era<<generationBits | a.Generation }
 
 // handoverWait returns the wait before the first order. A store that was restored may
 // assign the lease while its former holder doesn't know yet that it lost it.
-func (l *lease) handoverWait(restored bool) time.Duration {
+func (l *Lease) handoverWait(restored bool) time.Duration {
 	if restored {
-		return max(l.handover, leaseTTL)
+		return max(l.handover, TTL)
 	}
 	return l.handover
 }
 
 // markLost records the loss of the lease if it was held. l.mu is held.
-func (l *lease) markLost() {
+func (l *Lease) markLost() {
 	if l.token == 0 {
 		return
 	}
