Divide the room of engines fairly over workspaces while requests wait

Cause: urgency and time left order the requests at engines, no workspace: one at several times its usual made all of its urgency wait as long as itself. Ruled out: a queue at each daemon (empty at two requests a second), refusal by share (room may come a moment later); docs/design/fair-shares.md. While requests wait for longer than they are served, the part of a workspace's requests that its max-min share covers keeps its rank, the others go one step of the engine's urgency behind it.

--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -85,6 +85,12 @@
 	return max(1, w.Prompt.Output-int(min(w.Received, math.MaxInt32)))
 }
 
+// Served returns the time that the upstream is expected to work on the request itself, from
+// its start to the end of its answer.
+func (p *Pick) Served() time.Duration {
+	return max(0, p.medianWait-p.Ahead) + p.Expected.Whole - p.Expected.First
+}
+
 // needsOrigin reports whether the upstream's build must be known later on.
 func (w *Work) needsOrigin() bool { return w.CallerResumes && w.Build == 0 }
 
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -21,6 +21,7 @@
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/event"
 	"currantpulley/internal/failure"
+	"currantpulley/internal/fairness"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/peer"
@@ -96,6 +97,11 @@
 	// Limit returns the limit that an upstream states, each time of another one; nil or
 	// false: none.
 	Limit func() (ratelimit.Statement, bool)
+	// WorkspaceUses returns this daemon's work in progress by workspace; nil: none.
+	WorkspaceUses func() []fairness.Use
+	// OnWorkspaceUses applies another daemon's work in progress by workspace. It holds for
+	// lifetime at most; nil: not called.
+	OnWorkspaceUses func(vm string, uses []fairness.Use, lifetime time.Duration)
 }
 
 // Exchange runs the protocol. Its state is owned by the control goroutine.
@@ -227,6 +233,7 @@
 	s.Notices = e.notices.repeated(now, repeatTime(len(e.opts.View().Live())))
 	s.Suspects = e.suspects()
 	s.Limits = e.limits()
+	s.WorkspaceUses = e.workspaceUses()
 	s.CutOff = e.opts.CutOff != nil && e.opts.CutOff()
 	return s
 }
@@ -267,6 +274,7 @@
 	}
 	e.applySuspects(s.GetSuspects())
 	e.applyLimits(s.GetLimits())
+	e.applyWorkspaceUses(s.GetVm(), s.GetWorkspaceUses(), lifetime)
 }
 
 // encodeUrgencies sets the urgencies of u's work in use. Most engines have work of one.
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -18,6 +18,7 @@
 	"currantpulley/internal/control/origins"
 	"currantpulley/internal/control/tunnel"
 	"currantpulley/internal/event"
+	"currantpulley/internal/fairness"
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/peer"
@@ -42,6 +43,7 @@
 	lag        freshness.Lag
 	quarantine *quarantine.Table
 	limits     *ratelimit.Table
+	shares     *fairness.Table
 	departures departures
 	cutOffs    cutOffs
 	carrier    *tunnel.Server
@@ -91,7 +93,7 @@
 	if p.server, err = peer.Listen(s.PeerListen, nil); err != nil {
 		return nil, err
 	}
-	p.quarantine, p.limits = p.newQuarantine(ctx), p.newLimits(ctx)
+	p.quarantine, p.limits, p.shares = p.newQuarantine(ctx), p.newLimits(ctx), fairness.New(p.roomOf)
 	p.membership = membership.New(membership.Options{
 		Loop: p.loop, Pool: p.pool, List: o.List, Recorder: r,
 		Self:   fleet.VM{Name: s.VM, PeerAddress: s.PeerListen, DataCentre: s.DataCentre, Site: s.Site},
@@ -103,6 +105,7 @@
 		Announcements: p.announcements, OnAnnouncement: p.onAnnouncement, OnNotice: p.handleNotice,
 		Proof: p.proof, OnProof: p.onProof, Suspect: p.suspect, Limit: p.limit,
 		CutOff: o.CutOff, OnCutOff: p.cutOffs.set,
+		WorkspaceUses: p.shares.Own, OnWorkspaceUses: p.onWorkspaceUses,
 	})
 	p.carrier, p.tunnels = p.newTunnels()
 	p.origins = origins.New(origins.Options{
--- a/internal/event/decision.go
+++ b/internal/event/decision.go
@@ -20,6 +20,8 @@
 	UpstreamLeaving     ID = 3016
 	PauseIgnored        ID = 3017
 	CarrierNotTold      ID = 3018
+	WorkspaceOverShare  ID = 3025
+	WorkspaceUseIgnored ID = 3026
 )
 
 var decisionEvents = []Definition{
@@ -41,4 +43,6 @@
 	{UpstreamLeaving, "upstream_leaving", Info, "An upstream said in a response that it shuts down; it gets no further requests of this daemon."},
 	{PauseIgnored, "pause_ignored", Warn, "An upstream asked for a pause in a form that is not understood; logged once for each upstream."},
 	{CarrierNotTold, "carrier_not_told", Warn, "The daemon that carried a request did not learn that the upstream asked it for no requests."},
+	{WorkspaceOverShare, "workspace_over_share", Info, "A workspace has more work at a service than its fair share while requests wait there; a part of its requests goes behind others of the same rank. Detail has the service, the work and the share; logged once until the workspace was within its share for a while."},
+	{WorkspaceUseIgnored, "workspace_use_ignored", Warn, "Another daemon told more work in progress by workspace than all engines of a service have room for; what it told before counts until it expires."},
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -141,11 +141,13 @@
 	}
 	q.snap = g.opts.Watcher.Load()
 	now := freshness.Time()
+	g.setUrgency(q, now)
 	work := q.work()
 	pick := g.opts.Balancer.Pick(q.snap, work, now)
 	if pick == nil {
 		return nil, g.noUpstream(work)
 	}
+	g.observeWait(q, pick, now)
 	if pick.Late > 0 && !q.headSent {
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
 		return nil, lateRefusal(pick, work.Left)
@@ -180,7 +182,7 @@
 	}
 	if q.service.Engine != nil {
 		w.Prompt = q.Prompt
-		w.Urgency = urgency(q.route, q.workspace)
+		w.Urgency = q.urgency
 	}
 	return w
 }
@@ -323,7 +325,7 @@
 	if q.service.Engine != nil {
 		o.Version = a.pick.Version
 		o.Salt = cacheSalt(q, a.pick.Version)
-		o.Urgency = urgency(q.route, q.workspace)
+		o.Urgency = q.urgency
 		o.FetchFrom = a.pick.Fetch
 		o.SaveTo = a.pick.Save
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"currantpulley/internal/balance"
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/event"
+	"currantpulley/internal/fairness"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/holdoff"
 	"currantpulley/internal/metrics"
@@ -44,6 +45,7 @@
 	HasEnded    func(ctx context.Context, address string) bool // whether an upstream's process has ended; nil: as own connections show
 	TellCarrier func(conn net.Conn, n holdoff.Notice)          // tells a daemon that carried a request over conn what the upstream asked for; nil: none does
 	Quarantine  *quarantine.Table                              // requests and parts of prompts that crash upstreams; nil: shared with no other daemon
+	Shares      *fairness.Table                                // work in progress by workspace; nil: shared with no other daemon
 	// StaleWeightsCut is the time after the announcement of a newer weights version
 	// from which a request that still waits in an engine with older weights is taken
 	// back; 0: never.
@@ -73,6 +75,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantine.New(quarantine.Options{})
 	}
+	if o.Shares == nil {
+		o.Shares = fairness.New(func(uint32) float64 { return 0 })
+	}
 	g := &Gateway{opts: o}
 	g.ending, g.endRequests = context.WithCancel(context.Background())
 	return g
@@ -124,6 +129,7 @@
 	reached []string     // addresses of the attempts that may have reached an upstream
 	runs    int          // of these, attempts that may have run
 
+	urgency  int           // of the latest attempt, see setUrgency
 	expected time.Duration // wait for the first byte of the latest attempt
 
 	lastRelayed uint64    // id of the last stream event that the caller has
@@ -202,6 +208,7 @@
 		return err
 	}
 	g.opts.Retries.Request(q.service.Name)
+	defer g.beginShare(q)()
 	return g.sendWithRetries(q)
 }
 
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -51,6 +51,16 @@
 	SendRepeated Send = "repeated" // after an earlier send failed
 )
 
+// Placing is where a request goes within its rank.
+type Placing string
+
+// Places of requests within their rank.
+const (
+	PlacedFreely Placing = "free"   // room isn't short, or the workspace is alone
+	PlacedWithin Placing = "within" // room is short, the request is within its workspace's share
+	PlacedBehind Placing = "behind" // it is beyond it and goes behind others
+)
+
 // Gateway holds the metrics of the requests that the gateway relays. It is safe
 // for concurrent use.
 type Gateway struct {
@@ -59,6 +69,7 @@
 	attempts *prometheus.CounterVec
 	sends    *prometheus.CounterVec
 	tokens   *prometheus.CounterVec
+	placed   *prometheus.CounterVec
 	progress prometheus.Gauge
 
 	mu       sync.Mutex
@@ -81,6 +92,7 @@
 		attempts: counter("attempts_total", "Attempts at upstreams by result.", "result"),
 		sends:    counter("sends_total", "Requests sent to upstreams by service and by whether they repeat an earlier send.", "service", "kind"),
 		tokens:   counter("prompt_tokens_total", "Tokens of prompts by where the engine was expected to get them.", "source"),
+		placed:   counter("placed_total", "Sends to engines for workspaces by service and place: free while room isn't short, else within the workspace's share or behind others of the rank.", "service", "place"),
 		progress: f.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Subsystem: subsystem, Name: "requests_in_progress", Help: "Requests that arrived and have not ended.",
 		}),
@@ -112,6 +124,11 @@
 	g.sends.WithLabelValues(g.label(g.services, service), string(kind)).Inc()
 }
 
+// Placed counts a request of a workspace by its place within its rank.
+func (g *Gateway) Placed(service string, p Placing) {
+	g.placed.WithLabelValues(g.label(g.services, service), string(p)).Inc()
+}
+
 // Tokens adds n prompt tokens from one source.
 func (g *Gateway) Tokens(s Source, n int) {
 	if n > 0 {
