Move the tokens of quotas between daemons

Cause: a daemon's part of a quota can be less than one request (1/141).

Change: internal/control/quotas: each daemon sends what it minted to the workspace's holder with the states that pairs exchange anyway (fields 20 and 21 of State), and asks the holder in one gRPC call when its own tokens don't suffice; the second owner takes over when the first doesn't answer.

Tests: go test -race ./internal/control/quotas ./internal/control/exchange ./internal/control/peers pass; five daemons over gRPC admit what is below the quota with the holder and after it was lost in the middle, and stay within the bound.

--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -102,6 +102,8 @@
 	// OnWorkspaceUses applies another daemon's work in progress by workspace. It holds for
 	// lifetime at most; nil: not called.
 	OnWorkspaceUses func(vm string, uses []fairness.Use, lifetime time.Duration)
+	// Quotas moves tokens of quotas with the states; nil: none move.
+	Quotas Quotas
 }
 
 // Exchange runs the protocol. Its state is owned by the control goroutine.
@@ -179,7 +181,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var state *exchangepb.State
-	if e.opts.Loop.Do(ctx, func(now time.Time) { state = e.state(now) }) != nil {
+	if e.opts.Loop.Do(ctx, func(now time.Time) { state = e.stateFor(vm.Name, now) }) != nil {
 		return
 	}
 	sent := freshness.Now()
@@ -188,7 +190,9 @@
 		state, err = exchangepb.NewExchangeClient(conn).Tell(ctx, state)
 	}
 	if err != nil {
-		e.opts.Recorder.Record(event.Event{ID: event.LoadSpreadFailed, Peer: vm.Name, Step: "exchange", Err: failure.At("exchange", vm.Name, err)})
+		err = failure.At("exchange", vm.Name, err)
+		e.opts.Recorder.Record(event.Event{ID: event.LoadSpreadFailed, Peer: vm.Name, Step: "exchange", Err: err})
+		e.quotaPeerLost(vm.Name, err)
 		return
 	}
 	// Proofs are only taken from replies, whose age counts from a known instant:
@@ -196,15 +200,21 @@
 	if p := state.GetProof(); p != nil {
 		e.opts.OnProof(p.GetPosition(), sent.Add(-time.Duration(p.GetAgeMs())*time.Millisecond))
 	}
-	e.opts.Loop.Post(func(time.Time) { e.applyState(state) })
+	e.opts.Loop.Post(func(time.Time) {
+		if e.applyState(state) {
+			e.applyDeposits(state, freshness.Now().Sub(sent))
+		}
+	})
 }
 
 // Tell implements the gRPC service.
 func (e *Exchange) Tell(ctx context.Context, s *exchangepb.State) (*exchangepb.State, error) {
 	var reply *exchangepb.State
 	err := e.opts.Loop.Do(ctx, func(now time.Time) {
-		e.applyState(s)
-		reply = e.state(now)
+		if e.applyState(s) {
+			e.applyDeposits(s, 0)
+		}
+		reply = e.stateFor(s.GetVm(), now)
 	})
 	return reply, err
 }
@@ -238,12 +248,12 @@
 	return s
 }
 
-// applyState applies another daemon's state unless a newer one was applied. It
-// must be called on the control goroutine.
-func (e *Exchange) applyState(s *exchangepb.State) {
+// applyState applies another daemon's state unless a newer one was applied, and reports
+// whether it did. It must be called on the control goroutine.
+func (e *Exchange) applyState(s *exchangepb.State) bool {
 	old := e.lastState[s.GetVm()]
 	if s.GetIncarnation() < old.incarnation || (s.GetIncarnation() == old.incarnation && s.GetSequence() <= old.sequence) {
-		return
+		return false
 	}
 	e.lastState[s.GetVm()] = stateID{s.GetIncarnation(), s.GetSequence()}
 	uses := make([]Use, 0, len(s.GetUses()))
@@ -275,6 +285,7 @@
 	e.applySuspects(s.GetSuspects())
 	e.applyLimits(s.GetLimits())
 	e.applyWorkspaceUses(s.GetVm(), s.GetWorkspaceUses(), lifetime)
+	return true
 }
 
 // encodeUrgencies sets the urgencies of u's work in use. Most engines have work of one.
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -16,6 +16,7 @@
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/control/membership"
 	"currantpulley/internal/control/origins"
+	"currantpulley/internal/control/quotas"
 	"currantpulley/internal/control/tunnel"
 	"currantpulley/internal/event"
 	"currantpulley/internal/fairness"
@@ -40,6 +41,7 @@
 	membership *membership.Membership
 	exchange   *exchange.Exchange
 	origins    *origins.Origins
+	quotas     *quotas.Quotas
 	lag        freshness.Lag
 	quarantine *quarantine.Table
 	limits     *ratelimit.Table
@@ -99,6 +101,9 @@
 		Self:   fleet.VM{Name: s.VM, PeerAddress: s.PeerListen, DataCentre: s.DataCentre, Site: s.Site},
 		OnView: func(fleet.View) {},
 	})
+	p.quotas = quotas.New(quotas.Options{
+		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, InContact: p.inContact,
+	})
 	p.exchange = exchange.New(exchange.Options{
 		Loop: p.loop, Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r,
 		Collect: p.ownUse, Apply: p.applyUse, ComputedPrefixes: p.computedPrefixes, OnComputedPrefixes: p.onComputedPrefixes,
@@ -106,6 +111,7 @@
 		Proof: p.proof, OnProof: p.onProof, Suspect: p.suspect, Limit: p.limit,
 		CutOff: o.CutOff, OnCutOff: p.cutOffs.set,
 		WorkspaceUses: p.shares.Own, OnWorkspaceUses: p.onWorkspaceUses,
+		Quotas: p.quotas,
 	})
 	p.carrier, p.tunnels = p.newTunnels()
 	p.origins = origins.New(origins.Options{
@@ -114,6 +120,7 @@
 	p.membership.Register(p.server.Server)
 	p.exchange.Register(p.server.Server)
 	p.origins.Register(p.server.Server)
+	p.quotas.Register(p.server.Server)
 	p.carrier.Register(p.server.Server)
 	go p.loop.Run(ctx)
 	go func() {
@@ -124,6 +131,7 @@
 	go p.membership.Run(ctx)
 	go p.exchange.Run(ctx)
 	go p.origins.Run(ctx)
+	go p.quotas.Run(ctx)
 	go p.announceDepartures(ctx)
 	return p, nil
 }
@@ -143,6 +151,17 @@
 // Origins returns the builds that began streams, of this daemon and the others.
 func (p *Peers) Origins() *origins.Origins { return p.origins }
 
+// Quotas returns the quotas of workspaces that all daemons keep together.
+func (p *Peers) Quotas() *quotas.Quotas { return p.quotas }
+
+// contactAge is the age of the proof that the configuration is the newest up to which
+// this daemon counts as in contact with the others: the proof comes from the store, or
+// from a daemon that is in contact with it.
+const contactAge = 5 * time.Second
+
+// inContact reports whether this daemon is in contact with the others or the store.
+func (p *Peers) inContact() bool { return p.opts.Proof.Within(contactAge, freshness.Now()) }
+
 // Live returns the number of daemons that may be serving, this one included.
 func (p *Peers) Live() int { return max(1, len(p.View().Live())) }
 
