Refuse what is over a workspace's quota, before anything is sent

Cause: nothing on the platform kept quotas.

Change: the gateway charges a request right before its first send, when it is known that it can be answered in time; 429 with the time at which the quota covers it; what did not run is given back; a repeat after a run is owed. Costs are the sum of the stated tokens.

Tests: go test -race ./internal/gateway ./platform/wire pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -159,6 +159,10 @@
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
 		return nil, err
 	}
+	if err := g.charge(q); err != nil {
+		g.opts.Balancer.Done(pick, balance.Cancelled, freshness.Time())
+		return nil, err
+	}
 	if !g.opts.Retries.Confirm(&q.permit) {
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
 		return nil, errRepeatHeldUp
--- a/internal/gateway/dialect.go
+++ b/internal/gateway/dialect.go
@@ -18,6 +18,8 @@
 	Key          string          // API key, which identifies the workspace; empty: none
 	MaxWait      time.Duration   // how long the caller will wait; 0: not given
 	Prompt       *balance.Prompt // nil: not given
+	Tokens       int             // of the prompt and, at most, of the answer, as stated
+	HasTokens    bool            // Tokens is stated
 	LastEvent    uint64          // id of the last stream event that the caller received
 	HasLastEvent bool            // LastEvent is set
 	FirstAttempt string          // id of the caller's attempt that brought the first event of the stream; empty: not given
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"currantpulley/internal/holdoff"
 	"currantpulley/internal/metrics"
 	"currantpulley/internal/quarantine"
+	"currantpulley/internal/quota"
 	"currantpulley/internal/refusal"
 	"currantpulley/internal/rendezvous"
 	"currantpulley/internal/retry"
@@ -46,6 +47,7 @@
 	TellCarrier func(conn net.Conn, n holdoff.Notice)          // tells a daemon that carried a request over conn what the upstream asked for; nil: none does
 	Quarantine  *quarantine.Table                              // requests and parts of prompts that crash upstreams; nil: shared with no other daemon
 	Shares      *fairness.Table                                // work in progress by workspace; nil: shared with no other daemon
+	Quotas      Quotas                                         // of workspaces, for all daemons together; nil: none are kept
 	// StaleWeightsCut is the time after the announcement of a newer weights version
 	// from which a request that still waits in an engine with older weights is taken
 	// back; 0: never.
@@ -136,6 +138,8 @@
 	numbering   numbering // of the events that were relayed
 	software    string    // version of the upstream that sent the first event of this response
 
+	charge quota.Charge // of the workspace's quota
+
 	build catalog.Build // that began the stream and must go on with it; 0: none did yet
 
 	// Times since the arrival of the request, except maxPause.
@@ -207,8 +211,12 @@
 	if err := g.bindToOrigin(q); err != nil {
 		return err
 	}
+	if err := g.checkQuota(q); err != nil {
+		return err
+	}
 	g.opts.Retries.Request(q.service.Name)
 	defer g.beginShare(q)()
+	defer g.settleQuota(q)
 	return g.sendWithRetries(q)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -113,6 +113,7 @@
 	origins         gateway.Origins // gateway.Options.Origins
 
 	quarantine *quarantine.Table // gateway.Options.Quarantine
+	quotas     gateway.Quotas    // gateway.Options.Quotas
 }
 
 // start runs a gateway in front of the replicas, with a route of each kind.
@@ -163,7 +164,7 @@
 		Metrics: metrics.NewGateway(f.metrics),
 		Dialect: dialect{}, Watcher: f.watcher, Balancer: balance.New(balance.Options{}),
 		Transport: upstream.NewTransport(), Recorder: f.record, Proof: f.proof, MaxProofAge: time.Minute,
-		StaleWeightsCut: f.staleWeightsCut, Origins: f.origins, Quarantine: f.quarantine,
+		StaleWeightsCut: f.staleWeightsCut, Origins: f.origins, Quarantine: f.quarantine, Quotas: f.quotas,
 		Retries: retry.NewWindows(retry.Options{
 			Clock: freshness.Time, Span: 10 * time.Second, Ratio: 0.2, Extra: 100, Part: func() float64 { return 1 }, Stale: func() bool { return false },
 		}),
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -64,17 +64,19 @@
 // Gateway holds the metrics of the requests that the gateway relays. It is safe
 // for concurrent use.
 type Gateway struct {
-	requests *prometheus.CounterVec
-	stages   *prometheus.HistogramVec
-	attempts *prometheus.CounterVec
-	sends    *prometheus.CounterVec
-	tokens   *prometheus.CounterVec
-	placed   *prometheus.CounterVec
-	progress prometheus.Gauge
-
-	mu       sync.Mutex
-	routes   map[string]bool // routes with a label value of their own
-	services map[string]bool // services with a label value of their own
+	requests  *prometheus.CounterVec
+	stages    *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	sends     *prometheus.CounterVec
+	tokens    *prometheus.CounterVec
+	placed    *prometheus.CounterVec
+	progress  prometheus.Gauge
+	overQuota *prometheus.CounterVec
+
+	mu         sync.Mutex
+	routes     map[string]bool // routes with a label value of their own
+	services   map[string]bool // services with a label value of their own
+	workspaces map[string]bool // workspaces with a label value of their own
 }
 
 // NewGateway returns the gateway's metrics, registered in r.
@@ -96,8 +98,10 @@
 		progress: f.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Subsystem: subsystem, Name: "requests_in_progress", Help: "Requests that arrived and have not ended.",
 		}),
-		routes:   make(map[string]bool),
-		services: make(map[string]bool),
+		routes:     make(map[string]bool),
+		services:   make(map[string]bool),
+		workspaces: make(map[string]bool),
+		overQuota:  counter("over_quota_total", "Requests refused by the quota of their workspace for all daemons together.", "workspace"),
 	}
 }
 
@@ -119,6 +123,11 @@
 // Attempt counts an attempt at an upstream by its result.
 func (g *Gateway) Attempt(result string) { g.attempts.WithLabelValues(result).Inc() }
 
+// OverQuota counts a request that was refused by its workspace's quota.
+func (g *Gateway) OverQuota(workspace string) {
+	g.overQuota.WithLabelValues(g.label(g.workspaces, workspace)).Inc()
+}
+
 // Sent counts a request that was sent to one of a service's upstreams.
 func (g *Gateway) Sent(service string, kind Send) {
 	g.sends.WithLabelValues(g.label(g.services, service), string(kind)).Inc()
