Choose the holders of quotas only when the fleet changes

Change: holders are computed for a new view alone; deposits need no list per workspace. The test of a lost holder compares what was admitted with what was asked for: on a busy machine its ticker asks less often than it counted on.

--- a/internal/control/quotas/quotas.go
+++ b/internal/control/quotas/quotas.go
@@ -64,7 +64,8 @@
 	share    quota.Share
 	config   *catalog.Config // whose quotas are in the book
 	names    map[quota.ID]string
-	holders  map[quota.ID][]fleet.VM // first owners, the highest-ranked first
+	view     fleet.View
+	holders  map[quota.ID][]fleet.VM // in the view: first owners, the highest-ranked first
 	avoided  map[string]time.Time    // until when a daemon is passed over, by name
 	refused  map[quota.ID]refusal
 	recorded map[string]time.Time // when an event was last recorded, by its kind and subject
@@ -113,11 +114,19 @@
 	q.share.Observe(len(view.VMs), inContact, now)
 	q.book.SetPart(q.share.Part(now), now)
 	q.loadConfig(now)
-	q.assignHolders(view)
+	if !sameView(view, q.view) {
+		q.assignHolders(view)
+	}
+}
+
+// sameView reports whether two views are one: views are not changed once they are known.
+func sameView(a, b fleet.View) bool {
+	return len(a.VMs) == len(b.VMs) && (len(a.VMs) == 0 || &a.VMs[0] == &b.VMs[0])
 }
 
 // assignHolders sets the daemons that may hold the tokens of each workspace.
 func (q *Quotas) assignHolders(view fleet.View) {
+	q.view = view
 	q.holders = make(map[quota.ID][]fleet.VM, len(q.names))
 	live := view.Live()
 	for id := range q.names {
@@ -223,6 +232,17 @@
 	return out
 }
 
+// holderOf returns the name of the first daemon that may hold the tokens of a workspace;
+// empty: none does.
+func (q *Quotas) holderOf(id quota.ID, now time.Time) string {
+	for _, vm := range q.holders[id] {
+		if now.After(q.avoided[vm.Name]) {
+			return vm.Name
+		}
+	}
+	return ""
+}
+
 // unreachedWait is what is told to wait if no holder answers.
 const unreachedWait = 500 * time.Millisecond
 
@@ -335,8 +355,7 @@
 	now := freshness.Time()
 	var out []quota.Deposit
 	for id := range q.names {
-		holders := q.holdersOf(id, now)
-		if len(holders) == 0 || holders[0].Name != vm {
+		if q.holderOf(id, now) != vm {
 			continue
 		}
 		if lots := q.book.TakeAll(id, now); len(lots) > 0 {
--- a/internal/control/quotas/quotas_test.go
+++ b/internal/control/quotas/quotas_test.go
@@ -76,18 +76,19 @@
 	}
 }
 
-// serve asks a daemon for requests for a time and returns how many were admitted.
-func (d *daemon) serve(t *testing.T, w *catalog.Workspace, rate float64, span time.Duration) int {
+// serve asks a daemon for requests for a time and returns how many it asked for and how
+// many were admitted.
+func (d *daemon) serve(t *testing.T, w *catalog.Workspace, rate float64, span time.Duration) (asked, admitted float64) {
 	t.Helper()
-	admitted := 0
 	tick := time.NewTicker(time.Duration(float64(time.Second) / rate))
 	defer tick.Stop()
 	for began := time.Now(); time.Since(began) < span; <-tick.C {
+		asked++
 		if _, _, ok := d.Charge(t.Context(), w, 1); ok {
 			admitted++
 		}
 	}
-	return admitted
+	return asked, admitted
 }
 
 // Load that it answers: all requests of a workspace come to one daemon, at 0.8 of the
@@ -105,8 +106,8 @@
 			asker = d
 		}
 	}
-	if n := asker.serve(t, w, 80, 2*time.Second); n < 150 {
-		t.Errorf("%d of about 160 requests below the quota were admitted", n)
+	if asked, n := asker.serve(t, w, 80, 2*time.Second); n < 0.99*asked {
+		t.Errorf("%g of %g requests below the quota were admitted", n, asked)
 	}
 	for _, d := range daemons {
 		if d.vm.Name == holder {
@@ -114,11 +115,11 @@
 		}
 	}
 	// Until it notices, the asker loses some; then the second owner has what all others mint.
-	if n := asker.serve(t, w, 70, 3*time.Second); n < 150 {
-		t.Errorf("%d of about 210 requests were admitted without the holder", n)
+	if asked, n := asker.serve(t, w, 70, 3*time.Second); n < 0.7*asked {
+		t.Errorf("%g of %g requests were admitted without the holder", n, asked)
 	}
-	if n := asker.serve(t, w, 1000, 3*time.Second); float64(n) > 100*(3+0.8)+100 {
-		t.Errorf("%d requests were admitted in 3 s, the quota is 100 a second", n)
+	if _, n := asker.serve(t, w, 1000, 3*time.Second); n > 100*(3+0.8)+100 {
+		t.Errorf("%g requests were admitted in 3 s, the quota is 100 a second", n)
 	}
 }
 
