Read the store's topics at two daemons of a data centre

Change: where nine daemons or more share a data centre, two of them read a topic, the same ones by rendezvous hashing in each view, and the others get the records from them by calls that wait up to a second (internal/control/feed). A reply has the age of the reader's proof, counted from when the call was sent, so that it never seems younger than it is. After any reply that isn't a proper one, and when a peer shows a further position, a daemon reads for itself. Smaller data centres and the own mode are as before.

--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -13,6 +13,7 @@
 	"currantpulley/internal/balance"
 	"currantpulley/internal/catalog"
 	"currantpulley/internal/control/exchange"
+	"currantpulley/internal/control/feed"
 	"currantpulley/internal/control/loop"
 	"currantpulley/internal/control/membership"
 	"currantpulley/internal/control/origins"
@@ -68,6 +69,7 @@
 	// Restored delivers a value after the store was restored from a copy.
 	Restored <-chan struct{}
 	Builds   origins.BuildStore // keeps the upstreams' builds beyond the life of all daemons
+	Feed     *feed.Feed         // of the topics that few daemons read for the others
 	Recorder event.Recorder
 	// Departures delivers the upstreams that this daemon has read to be leaving.
 	Departures <-chan catalog.Key
@@ -122,6 +124,8 @@
 	p.origins.Register(p.server.Server)
 	p.quotas.Register(p.server.Server)
 	p.carrier.Register(p.server.Server)
+	o.Feed.Join(p.pool, p.membership.View)
+	o.Feed.Register(p.server.Server)
 	go p.loop.Run(ctx)
 	go func() {
 		if err := p.server.Run(ctx); err != nil && ctx.Err() == nil {
--- a/internal/event/provider.go
+++ b/internal/event/provider.go
@@ -19,6 +19,8 @@
 	UpstreamsUnreachable     ID = 7014
 	UpstreamsRegained        ID = 7015
 	OrdersOutdated           ID = 7016
+	FeedLost                 ID = 7020
+	FeedRegained             ID = 7021
 )
 
 var providerEvents = []Definition{
@@ -38,4 +40,6 @@
 	{UpstreamsUnreachable, "upstreams_unreachable", Warn, "This daemon can't connect to upstreams that other daemons reach; its requests go through these, and it gives up the lease for orders to engines."},
 	{UpstreamsRegained, "upstreams_regained", Info, "This daemon connects to upstreams itself again."},
 	{OrdersOutdated, "orders_outdated", Warn, "An engine refused an order because it has seen a higher fencing token; the daemon gives up the lease, and acquires it only with a higher token."},
+	{FeedLost, "feed_lost", Warn, "The daemons that read a topic for this one failed it, so it reads for itself; detail has the topic, the error the reason."},
+	{FeedRegained, "feed_regained", Info, "This daemon gets a topic's records from another daemon again; detail has the topic."},
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -27,6 +27,7 @@
 	g.Tokens(SourceHeld, 1)
 	NewStoreCalls(m.registry).CountCall("read", "ok")
 	NewPeerCalls(m.registry).CountCall("Exchange/Tell", errors.New("timeout"))
+	NewTopicReads(m.registry).Observe("upstreams", "feed", time.Second)
 	NewOrderStages(m.registry).Observe("drain", time.Second)
 	one := func() float64 { return 1 }
 	budget := func() map[string]float64 { return map[string]float64{"s": 1} }
@@ -53,6 +54,7 @@
 		`currantpulley_gateway_stage_duration_seconds_count{route="r",stage="first"} 1`,
 		`currantpulley_store_calls_total{call="read",result="ok"} 1`,
 		`currantpulley_peer_calls_total{call="Exchange/Tell",result="failed"} 1`,
+		`currantpulley_topic_read_proof_age_seconds_count{source="feed",topic="upstreams"} 1`,
 		`currantpulley_order_stage_duration_seconds_bucket{stage="drain",le="0.5"} 0`,
 		`currantpulley_order_stage_duration_seconds_bucket{stage="drain",le="1"} 1`,
 		`currantpulley_upstreams_behind 1`,
