Keep the sums of other daemons' reports of an upstream

Cause: each request looks at each upstream of its service, and at each of these at the reports of all daemons, twice (work, and whether it fails). With 69 upstreams and 140 other daemons that is 19,000 map entries for one pick, also for one that ends in a refusal; under refusals and repeats picks come most when there is least room.

Change: an upstream's state keeps the sums of the reports, which a report changes by its difference. Expired reports are dropped when the first one may expire.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -87,16 +87,16 @@
 
 // upstreamState is what this daemon knows of one upstream.
 type upstreamState struct {
-	own           Use                // of this daemon
-	peers         map[string]peerUse // of the other daemons, by VM
-	otherRequests float64            // of other daemons, from the last answer that carried a load
-	reportedAt    time.Time          // of that answer
-	slowdown      float64            // see Load.Slowdown
-	weights       map[string]uint64  // newest version that responses reported, by model
-	backoffUntil  time.Time          // after a failure or a refusal
-	closedUntil   time.Time          // while it loads weights or is about to
-	fullUntil     time.Time          // see fullFor
-	failures      int                // consecutive
+	own           Use               // of this daemon
+	peers         peerReports       // of the other daemons
+	otherRequests float64           // of other daemons, from the last answer that carried a load
+	reportedAt    time.Time         // of that answer
+	slowdown      float64           // see Load.Slowdown
+	weights       map[string]uint64 // newest version that responses reported, by model
+	backoffUntil  time.Time         // after a failure or a refusal
+	closedUntil   time.Time         // while it loads weights or is about to
+	fullUntil     time.Time         // see fullFor
+	failures      int               // consecutive
 	usedAt        time.Time
 }
 
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"iter"
 	"time"
 
 	"currantpulley/internal/catalog"
@@ -58,6 +57,74 @@
 	until time.Time // the report expires
 }
 
+// peerReports holds what the other daemons reported of an upstream. The sums are kept,
+// since each request looks at all upstreams of its service, and daemons are many.
+type peerReports struct {
+	byVM    map[string]peerUse
+	sum     Use       // of the reports; Failing isn't set
+	failing int       // reports with Failing
+	expires time.Time // no report expires earlier
+}
+
+// set replaces the report of the daemon on vm.
+func (r *peerReports) set(vm string, p peerUse) {
+	if r.byVM == nil {
+		r.byVM = make(map[string]peerUse)
+	}
+	if old, ok := r.byVM[vm]; ok {
+		r.count(&old, -1)
+	}
+	if len(r.byVM) == 0 || p.until.Before(r.expires) {
+		r.expires = p.until
+	}
+	r.byVM[vm] = p
+	r.count(&p, 1)
+}
+
+// remove removes the report of the daemon on vm, if there is one.
+func (r *peerReports) remove(vm string) {
+	if p, ok := r.byVM[vm]; ok {
+		delete(r.byVM, vm)
+		r.count(&p, -1)
+	}
+}
+
+// count adds sign times a report to the sums. Work without requests counts as urgent, see
+// Use.before.
+func (r *peerReports) count(p *peerUse, sign int) {
+	r.sum.Requests += sign * p.Requests
+	r.sum.NotResumable += sign * p.NotResumable
+	r.sum.Tokens += sign * p.Tokens
+	if p.Failing {
+		r.failing += sign
+	}
+	if p.Requests == 0 {
+		return
+	}
+	for i := range p.ByUrgency {
+		of := &p.ByUrgency[i]
+		r.sum.ByUrgency[i].Requests += sign * of.Requests
+		r.sum.ByUrgency[i].Tokens += sign * of.Tokens
+	}
+}
+
+// dropExpired removes the reports that have expired.
+func (r *peerReports) dropExpired(now time.Time) {
+	if !now.After(r.expires) {
+		return
+	}
+	next := time.Time{}
+	for vm, p := range r.byVM {
+		switch {
+		case now.After(p.until):
+			r.remove(vm)
+		case next.IsZero() || p.until.Before(next):
+			next = p.until
+		}
+	}
+	r.expires = next
+}
+
 // OwnWork returns this daemon's work at each upstream, and the upstreams that fail.
 func (b *Balancer) OwnWork(now time.Time) map[catalog.Key]Use {
 	b.mu.Lock()
@@ -81,15 +148,12 @@
 	b.peerReportAt = now
 	for k, s := range b.upstreams {
 		if _, ok := uses[k]; !ok {
-			delete(s.peers, vm)
+			s.peers.remove(vm)
 		}
 	}
 	for k, u := range uses {
 		s := b.stateOf(k, now)
-		if s.peers == nil {
-			s.peers = make(map[string]peerUse)
-		}
-		s.peers[vm] = peerUse{u, until}
+		s.peers.set(vm, peerUse{u, until})
 		s.usedAt = now
 	}
 }
@@ -115,8 +179,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stateOf(u.Key(), now)
-	others := s.peerTotal(now)
-	return s.own.plus(others)
+	return s.own.plus(s.peerTotal(now))
 }
 
 // Summary is the state of all upstreams together, as far as this daemon knows.
@@ -143,7 +206,7 @@
 }
 
 // plus returns the sum of both, without Failing and the split by urgency.
-func (u Use) plus(other Use) Use {
+func (u *Use) plus(other *Use) Use {
 	return Use{
 		Requests:     u.Requests + other.Requests,
 		NotResumable: u.NotResumable + other.NotResumable,
@@ -154,36 +217,12 @@
 // isFailing reports whether failingQuorum other daemons report that the upstream
 // fails, or one of them does and it fails this daemon too.
 func (s *upstreamState) isFailing(now time.Time) bool {
-	count := 0
-	for _, p := range s.peers {
-		if p.Failing && !now.After(p.until) {
-			count++
-		}
-	}
-	return count >= failingQuorum || (count > 0 && s.failures > 0)
+	s.peers.dropExpired(now)
+	return s.peers.failing >= failingQuorum || (s.peers.failing > 0 && s.failures > 0)
 }
 
 // peerTotal returns the work that other daemons reported.
-func (s *upstreamState) peerTotal(now time.Time) Use {
-	sum := Use{}
-	for use := range s.peerWork(now) {
-		sum = sum.plus(use)
-	}
-	return sum
-}
-
-// peerWork yields the work that each other daemon reported and removes the reports that
-// have expired.
-func (s *upstreamState) peerWork(now time.Time) iter.Seq[Use] {
-	return func(yield func(Use) bool) {
-		for vm, p := range s.peers {
-			if now.After(p.until) {
-				delete(s.peers, vm)
-				continue
-			}
-			if !yield(p.Use) {
-				return
-			}
-		}
-	}
+func (s *upstreamState) peerTotal(now time.Time) *Use {
+	s.peers.dropExpired(now)
+	return &s.peers.sum
 }
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -67,9 +67,7 @@
 		out.requestsBefore += others
 		return out
 	}
-	for use := range s.peerWork(now) {
-		out.add(&use, urgency)
-	}
+	out.add(s.peerTotal(now), urgency)
 	return out
 }
 
