Let 24 daemons join the group of orders, and read the list of VMs as 16 do

Ruled out: a longer time to live with fewer renewals for members that hold nothing: after a kill of many, the lease may be assigned to a dead member for as long.

Change: a daemon that isn't among 24 by rendezvous hashing lets its membership lapse, unless it holds the lease; beyond 16 daemons the list is read as often in all as by 16.

--- a/internal/control/grouplease/grouplease.go
+++ b/internal/control/grouplease/grouplease.go
@@ -49,6 +49,7 @@
 	handover time.Duration // wait of a new holder before its first order
 	recorder event.Recorder
 	unfit    func() bool // reports whether this daemon can't reach engines
+	spare    func() bool // reports whether enough others may hold the lease; nil: false
 
 	callMu sync.Mutex // held during a call to the store, so that no renewal follows Leave
 
@@ -70,6 +71,14 @@
 	return &Lease{group: g, handover: handover, recorder: r, unfit: unfit}
 }
 
+// SetSpare sets the function that reports whether enough other daemons may hold the lease.
+// Then this one lets its membership lapse, unless it holds the lease. It must be called
+// before Run.
+func (l *Lease) SetSpare(spare func() bool) { l.spare = spare }
+
+// isSpare reports whether this daemon need not be a member.
+func (l *Lease) isSpare() bool { return l.spare != nil && !l.Held() && l.spare() }
+
 // Token implements rollout.Lease. It returns the fencing token and whether orders
 // may be given now.
 func (l *Lease) Token() (uint64, bool) {
@@ -124,7 +133,7 @@
 	l.callMu.Lock()
 	defer l.callMu.Unlock()
 	switch {
-	case l.hasLeft():
+	case l.hasLeft() || l.isSpare():
 		return
 	case l.unfit() || l.isOutdated():
 		l.release(ctx)
--- a/internal/control/membership/machine_test.go
+++ b/internal/control/membership/machine_test.go
@@ -187,3 +187,17 @@
 		t.Errorf("a page has %d entries and ends at %q", len(entries), until)
 	}
 }
+
+// The load: 141 daemons that each read the platform's list every 10 s. Beyond ListReaders
+// the reads of all together must not grow, and each alone reads as before.
+func TestListIsReadAsOftenByManyAsByFew(t *testing.T) {
+	o := Options{ListPeriod: 10 * time.Second, ListReaders: 16}
+	for live, want := range map[int]time.Duration{0: 10 * time.Second, 16: 10 * time.Second, 32: 20 * time.Second, 160: 100 * time.Second} {
+		if got := listPeriod(o, live); got != want {
+			t.Errorf("%d live VMs: each reads after %v, want %v", live, got, want)
+		}
+	}
+	if got := listPeriod(Options{ListPeriod: time.Second}, 1000); got != time.Second {
+		t.Errorf("without ListReaders each reads after %v", got)
+	}
+}
--- a/internal/control/membership/membership.go
+++ b/internal/control/membership/membership.go
@@ -84,17 +84,16 @@
 
 // every calls f once per period, with jitter, until ctx ends.
 func (s *Membership) every(ctx context.Context, period time.Duration, f func(context.Context)) {
-	for {
-		factor := 1 + jitterFraction*(2*rand.Float64()-1)
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(time.Duration(float64(period) * factor)):
-			f(ctx)
-		}
+	for sleep(ctx, jittered(period)) {
+		f(ctx)
 	}
 }
 
+// jittered returns a random time around d.
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + jitterFraction*(2*rand.Float64()-1)))
+}
+
 // publish makes the view visible to readers if it changed. It must be called
 // on the control goroutine.
 func (s *Membership) publish() {
@@ -149,7 +148,19 @@
 		}
 		read(ctx)
 	}
-	s.every(ctx, s.opts.ListPeriod, read)
+	for sleep(ctx, jittered(listPeriod(s.opts, s.View().LiveCount()))) {
+		read(ctx)
+	}
+}
+
+// listPeriod returns the time between two reads of the list by one of a number of live
+// VMs. A VM that some of them don't know of yet is found by any of them, so more of them
+// don't have to read more often.
+func listPeriod(o Options, live int) time.Duration {
+	if o.ListReaders <= 0 {
+		return o.ListPeriod
+	}
+	return max(o.ListPeriod, time.Duration(live)*o.ListPeriod/time.Duration(o.ListReaders))
 }
 
 // alone reports whether this daemon knows no other VM.
--- a/internal/control/membership/options.go
+++ b/internal/control/membership/options.go
@@ -53,6 +53,7 @@
 	SuspicionTimeout time.Duration // until a suspect is declared dead in a fleet of ten VMs; grows with the logarithm of the fleet's size
 	SyncPeriod       time.Duration // between view comparisons with a neighbour
 	ListPeriod       time.Duration // between reads of the platform's VM list
+	ListReaders      int           // live VMs up to which each reads the list once in a ListPeriod, more read it as often in all; 0: any number
 	ForgetAfter      time.Duration // until a dead VM that the list does not contain is dropped
 	Seed             uint64        // of the random number generator; 0: the incarnation
 }
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,10 @@
 	"currantpulley/internal/upstream"
 )
 
+// listReaders is the number of daemons beyond which more of them don't read the list of
+// VMs more often in all.
+const listReaders = 16
+
 // leaveTimeout bounds the announcement to the others that this daemon stops.
 const leaveTimeout = 500 * time.Millisecond
 
@@ -101,7 +106,7 @@
 	p.membership = membership.New(membership.Options{
 		Loop: p.loop, Pool: p.pool, List: o.List, Recorder: r,
 		Self:   fleet.VM{Name: s.VM, PeerAddress: s.PeerListen, DataCentre: s.DataCentre, Site: s.Site},
-		OnView: func(fleet.View) {},
+		OnView: func(fleet.View) {}, ListReaders: listReaders,
 	})
 	p.quotas = quotas.New(quotas.Options{
 		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, InContact: p.inContact,
@@ -167,7 +172,14 @@
 func (p *Peers) inContact() bool { return p.opts.Proof.Within(contactAge, freshness.Now()) }
 
 // Live returns the number of daemons that may be serving, this one included.
-func (p *Peers) Live() int { return max(1, len(p.View().Live())) }
+func (p *Peers) Live() int { return max(1, p.View().LiveCount()) }
+
+// IsAmongFirst reports whether this daemon is one of the first n live owners of a key, or
+// knows no more than n live daemons.
+func (p *Peers) IsAmongFirst(key string, n int) bool {
+	live := p.View().Live()
+	return len(live) <= n || slices.ContainsFunc(fleet.Owners(live, key, n), func(vm fleet.VM) bool { return vm.Name == p.opts.Settings.VM })
+}
 
 // Known returns the number of daemons that are known, this one included. It has those
 // that are leaving, and for a while those that no longer answer.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -81,6 +81,17 @@
 	return live
 }
 
+// LiveCount returns the number of VMs that Live returns.
+func (v View) LiveCount() int {
+	n := 0
+	for i := range v.VMs {
+		if s := v.VMs[i].State; s == Alive || s == Suspect {
+			n++
+		}
+	}
+	return n
+}
+
 // In returns the live VMs of a data centre.
 func (v View) In(dataCentre string) []VM {
 	return slices.DeleteFunc(v.Live(), func(vm VM) bool { return vm.DataCentre != dataCentre })
