Hash each name once for a ring, and count live daemons without a copy

Cause: each daemon forwards each notice on a ring of all daemons, for which it hashed names in each comparison of a sort of large values, and each state of the exchange copied all VMs three times only to count them.

The order of the ring is the same: the tests of package broadcast pass.

--- a/internal/control/broadcast/broadcast.go
+++ b/internal/control/broadcast/broadcast.go
@@ -41,15 +41,31 @@
 // NewRing returns the ring of vms, ordered by the hash of their names. The VM
 // named self is added if it is missing.
 func NewRing(vms []fleet.VM, self string) Ring {
-	ordered := slices.Clone(vms)
-	isSelf := func(vm fleet.VM) bool { return vm.Name == self }
-	if !slices.ContainsFunc(ordered, isSelf) {
-		ordered = append(ordered, fleet.VM{Name: self})
+	if !slices.ContainsFunc(vms, func(vm fleet.VM) bool { return vm.Name == self }) {
+		vms = append(slices.Clone(vms), fleet.VM{Name: self})
 	}
-	slices.SortFunc(ordered, func(a, b fleet.VM) int {
-		return cmp.Or(cmp.Compare(rendezvous.Hash(a.Name), rendezvous.Hash(b.Name)), cmp.Compare(a.Name, b.Name))
+	type place struct { // small, since sorting moves it often; each name is hashed once
+		hash uint64
+		vm   int
+	}
+	order := make([]place, len(vms))
+	for i := range vms {
+		order[i] = place{rendezvous.Hash(vms[i].Name), i}
+	}
+	slices.SortFunc(order, func(a, b place) int {
+		if c := cmp.Compare(a.hash, b.hash); c != 0 {
+			return c
+		}
+		return cmp.Compare(vms[a.vm].Name, vms[b.vm].Name)
 	})
-	return Ring{vms: ordered, self: slices.IndexFunc(ordered, isSelf)}
+	r := Ring{vms: make([]fleet.VM, len(vms))}
+	for i, p := range order {
+		r.vms[i] = vms[p.vm]
+		if r.vms[i].Name == self {
+			r.self = i
+		}
+	}
+	return r
 }
 
 // Len returns the number of VMs on the ring.
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -231,7 +231,7 @@
 		encodeUrgencies(use, &u.Use)
 		s.Uses = append(s.Uses, use)
 	}
-	for _, h := range e.opts.ComputedPrefixes(heldPeriods*period(len(e.opts.View().Live())), maxHeld) {
+	for _, h := range e.opts.ComputedPrefixes(heldPeriods*period(e.opts.View().LiveCount()), maxHeld) {
 		s.Held = append(s.Held, &exchangepb.Held{Prefix: h.Prefix, Upstream: h.Holder, Coming: h.Pending})
 	}
 	for _, a := range e.opts.Announcements() {
@@ -240,7 +240,7 @@
 	if position, age, ok := e.opts.Proof(); ok {
 		s.Proof = &exchangepb.Proof{Position: position, AgeMs: uint32(age.Milliseconds()) + 1}
 	}
-	s.Notices = e.notices.repeated(now, repeatTime(len(e.opts.View().Live())))
+	s.Notices = e.notices.repeated(now, repeatTime(e.opts.View().LiveCount()))
 	s.Suspects = e.suspects()
 	s.Limits = e.limits()
 	s.WorkspaceUses = e.workspaceUses()
@@ -263,7 +263,7 @@
 			Tokens: int(u.GetTokens()), Failing: u.GetFailing(), ByUrgency: decodeUrgencies(u),
 		}})
 	}
-	lifetime := stalePeriods * period(len(e.opts.View().Live()))
+	lifetime := stalePeriods * period(e.opts.View().LiveCount())
 	e.opts.Apply(s.GetVm(), uses, lifetime)
 	if e.opts.OnCutOff != nil {
 		e.opts.OnCutOff(s.GetVm(), s.GetCutOff(), lifetime)
