Weigh what leaving the data centre costs against what callers gain

Cause: each request to another data centre cost a fixed 2 ms, whatever it carried, and all daemons of a data centre followed the same shorter wait at once. Change: settings [crossing] price the way, the bytes and fetched cache entries; of requests that leave for a shorter wait the part goes that levels the waits; parts that are read sooner than a request crosses have an owner in each data centre. Without these settings requests go as before.

--- a/internal/balance/admit.go
+++ b/internal/balance/admit.go
@@ -48,12 +48,12 @@
 	return p.Expected.Excess(left)
 }
 
-// isBetter reports whether p, with the given score, is the better choice than other. An
+// isBetter reports whether p is the better choice than other. An
 // upstream that takes work goes before one that is closed or in backoff, and one that can
 // answer while the caller waits before one that can't. Of those that can't, the one that
 // answers first is the best. Of those that can, one whose streams the caller can resume
 // goes first: a stream that is lost costs its caller more than a wait within its time.
-func (p *Pick) isBetter(score time.Duration, other *Pick, otherScore time.Duration) bool {
+func (p *Pick) isBetter(other *Pick) bool {
 	switch {
 	case other == nil:
 		return true
@@ -66,5 +66,5 @@
 	case p.unkept != other.unkept:
 		return other.unkept
 	}
-	return score < otherScore
+	return p.score < other.score
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"currantpulley/internal/catalog"
+	"currantpulley/internal/crossing"
 	"currantpulley/internal/holdoff"
 	"currantpulley/internal/placement/holders"
 	"currantpulley/internal/ratelimit"
@@ -22,9 +23,6 @@
 	// ownerBonus is subtracted from the score of the owner, so that prompts with
 	// the same parts go to one engine when the scores are otherwise close.
 	ownerBonus = 40 * time.Millisecond
-	// crossDataCentreCost is added to the score of an upstream in another data
-	// centre.
-	crossDataCentreCost = 2 * time.Millisecond
 	// reportHalfLife is the age at which a reported load counts half.
 	reportHalfLife = 1500 * time.Millisecond
 	// backoffMin and backoffMax bound the time for which a failed upstream gets
@@ -58,6 +56,7 @@
 	DataCentre      string               // of this daemon
 	StaleWeightsMax time.Duration        // time since a newer version was announced after which older weights get no work; 0: never
 	OnHoldoff       func(holdoff.Change) // called when an upstream asks for no requests; nil: not called
+	Crossing        crossing.Prices      // of leaving the data centre; not set: a fixed small cost
 }
 
 // Balancer chooses upstreams by what this daemon has learned of their load,
@@ -83,6 +82,7 @@
 	part         float64                // of the work of all daemons that is this one's, as last known
 	stores       map[uint32]storeState  // by catalog.CacheStore.ShortID
 	brittle      map[string]brittleness // by service
+	crossings    *crossings
 }
 
 // upstreamState is what this daemon knows of one upstream.
@@ -107,7 +107,7 @@
 		limits: ratelimit.New(ratelimit.Options{}), risks: ratelimit.New(ratelimit.Options{}), part: 1,
 		brittle: make(map[string]brittleness), timings: make(map[string]*timing), memories: make(map[string]*memory),
 		upstreams: make(map[catalog.Key]*upstreamState), lanes: make(map[string]lane), stores: make(map[uint32]storeState),
-		held: holders.New(heldMax), pending: holders.New(pendingMax), isKept: func(catalog.Build) bool { return true },
+		crossings: newCrossings(), held: holders.New(heldMax), pending: holders.New(pendingMax), isKept: func(catalog.Build) bool { return true },
 	}
 }
 
@@ -146,9 +146,9 @@
 // choose returns the best candidate, see Pick.isBetter, or nil. An upstream that
 // is closed or in backoff is chosen only when all are, one that filter bars never.
 func (b *Balancer) choose(snap *catalog.Snapshot, w *Work, t *timing, now time.Time) *Pick {
-	var best *Pick
+	var found sides
 	c := &Pick{} // the candidate; the one that is worse is used again
-	var bestScore, opensIn time.Duration
+	var opensIn time.Duration
 	all := snap.UpstreamsOf(w.Service)
 	aff := b.affinity(snap, all, w, now)
 	for _, u := range all {
@@ -169,14 +169,10 @@
 			score += backoffMax
 		}
 		c.unkept = w.needsOrigin() && !b.isKept(u.Build())
-		if !c.isBetter(score, best, bestScore) {
-			continue
-		}
-		c, best, bestScore = best, c, score
-		if c == nil {
-			c = &Pick{}
-		}
+		c.score = score
+		c = found.add(c, u.DataCentre == b.opts.DataCentre, !c.unavailable)
 	}
+	best := b.chooseSide(&found, w, t, now)
 	if best == nil {
 		return nil
 	}
@@ -222,8 +218,12 @@
 		a.keptSince, a.surelyKeptSince = m.since(a.capacity), m.since(sureShare*a.capacity)
 	}
 	key := rendezvous.Hash(w.Prompt.group())
+	near := b.ownedNear(w, all)
 	var most uint64
 	for _, u := range all {
+		if near && u.DataCentre != b.opts.DataCentre {
+			continue
+		}
 		s := b.stateOf(u.Key(), now)
 		if s.unavailableFor(now) > 0 || a.short[u.ID] == w.Prompt.long() {
 			continue
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -18,9 +18,7 @@
 		p.unavailable = true
 		score += closed
 	}
-	if u.DataCentre != b.opts.DataCentre {
-		score += crossDataCentreCost
-	}
+	score += b.crossingCost(w, u)
 	if s.isFailing(now) {
 		score += failingCost
 	}
@@ -34,7 +32,8 @@
 	p.Fetch, p.Held, p.Fetched, p.transfer = r.from, r.held, r.fetched, r.transfer
 	p.prefillTokens = max(0, w.Prompt.Tokens-r.held-r.fetched)
 	t.expectAnswer(p, work, !aff.short[u.ID])
-	score += aff.cost(w.Prompt, u) + t.delay(p, work, aff.short[u.ID])
+	p.partsCost = aff.cost(w.Prompt, u) + t.first.Prefill(p.slow*float64(p.prefillTokens)) + p.transfer + t.copyCost(r.fetched)
+	score += b.cacheCrossingCost(snap, w, u, r) + aff.cost(w.Prompt, u) + t.delay(p, work, aff.short[u.ID])
 	stale, ok := b.stalenessCost(snap, w, p, now)
 	if !ok {
 		return 0, false
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"currantpulley/internal/catalog"
+	"currantpulley/internal/crossing"
 	"currantpulley/internal/placement/cost"
 )
 
@@ -59,6 +60,8 @@
 	Resumable bool    // may continue at another upstream after it began
 	Urgency   int     // engines run work with a lower one first
 	Left      TimeLeft
+	Bytes     int    // of the request and the expected answer
+	Hash      uint64 // of the request's id
 	Tried     []catalog.Key
 	// Reached lists the addresses to which the request was sent. It goes to none of them
 	// again, under no upstream: what an upstream said of the first send could be taken for
@@ -111,36 +114,39 @@
 // attempt's progress with Began and Done.
 type Pick struct {
 	Upstream      *catalog.Upstream
-	Version       uint64        // weights version to expect; 0: any
-	Wait          time.Duration // expected until the first byte, to compare upstreams
-	Ahead         time.Duration // part of Wait caused by work that goes before the request
-	Expected      Expected      // when the answer comes
-	Late          time.Duration // by how much the answer comes later than the caller waits, here and at least as much elsewhere; 0: not later
-	RetryAfter    time.Duration // time until a caller that waits as long is answered in time; 0: now
-	Fetch         string        // address of an engine or a store that probably holds the prompt's parts; empty: none
-	Save          string        // address of the store that should receive them; empty: none
-	Held          int           // tokens of the prompt that the upstream probably holds
-	Fetched       int           // further tokens that it gets from Fetch
-	prefillTokens int           // of the prompt, not computed yet
-	engines       int           // of the service
-	capacity      float64       // tokens that one of them has room for; 0: not known
-	prefixes      []uint64      // hashes of the prompt's leading parts
-	storeID       uint32        // catalog.CacheStore.ShortID of the store at Save; 0: none
-	notResumable  bool          // can't continue at another upstream
-	risky         bool          // may be rejected by a brittle upstream
-	unavailable   bool          // the upstream is closed or in backoff
-	unkept        bool          // the daemons may forget the upstream's build, so that the caller can't resume the stream
-	prompt        *Prompt       // nil: a plain call
-	output        int           // see Work.output
-	medianWait    time.Duration // until the first token, or until a call's answer
-	rounds        float64       // calls that its slot runs until the answer, p's included
-	queued        bool          // waits for a slot
-	overdue       bool          // has waited for longer than was allowed for; see timing.observeLongWait
-	endOverdue    bool          // the same of its whole answer; see timing.observeLongAnswer
-	urgency       int           // see Work.Urgency
-	slow          float64       // time that work takes at the upstream, relative to the usual
-	transfer      time.Duration // of the tokens from Fetch
-	first         cost.Work     // that the engine does before the first token, at the usual speed
+	Version       uint64          // weights version to expect; 0: any
+	Wait          time.Duration   // expected until the first byte, to compare upstreams
+	Ahead         time.Duration   // part of Wait caused by work that goes before the request
+	Expected      Expected        // when the answer comes
+	Late          time.Duration   // by how much the answer comes later than the caller waits, here and at least as much elsewhere; 0: not later
+	RetryAfter    time.Duration   // time until a caller that waits as long is answered in time; 0: now
+	Fetch         string          // address of an engine or a store that probably holds the prompt's parts; empty: none
+	Save          string          // address of the store that should receive them; empty: none
+	Held          int             // tokens of the prompt that the upstream probably holds
+	Fetched       int             // further tokens that it gets from Fetch
+	prefillTokens int             // of the prompt, not computed yet
+	engines       int             // of the service
+	capacity      float64         // tokens that one of them has room for; 0: not known
+	prefixes      []uint64        // hashes of the prompt's leading parts
+	storeID       uint32          // catalog.CacheStore.ShortID of the store at Save; 0: none
+	notResumable  bool            // can't continue at another upstream
+	Left          crossing.Reason // why it is in another data centre than the caller's daemon
+	score         time.Duration   // see Balancer.scoreUpstream; less is better
+	partsCost     time.Duration   // the part of score that depends on where parts of the prompt are kept
+	risky         bool            // may be rejected by a brittle upstream
+	unavailable   bool            // the upstream is closed or in backoff
+	unkept        bool            // the daemons may forget the upstream's build, so that the caller can't resume the stream
+	prompt        *Prompt         // nil: a plain call
+	output        int             // see Work.output
+	medianWait    time.Duration   // until the first token, or until a call's answer
+	rounds        float64         // calls that its slot runs until the answer, p's included
+	queued        bool            // waits for a slot
+	overdue       bool            // has waited for longer than was allowed for; see timing.observeLongWait
+	endOverdue    bool            // the same of its whole answer; see timing.observeLongAnswer
+	urgency       int             // see Work.Urgency
+	slow          float64         // time that work takes at the upstream, relative to the usual
+	transfer      time.Duration   // of the tokens from Fetch
+	first         cost.Work       // that the engine does before the first token, at the usual speed
 	pickedAt      time.Time
 	beganAt       time.Time // when the answer began; zero: it has not
 	state         *upstreamState
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -153,6 +153,9 @@
 	return max(periodMin, time.Duration(live)*periodPerVM)
 }
 
+// Period returns the time between two exchanges of this daemon with another one.
+func (e *Exchange) Period() time.Duration { return period(len(e.opts.View().Live())) }
+
 // callees returns the daemons that self calls. Of each pair one daemon calls the
 // other, and each daemon calls about half of the others.
 func callees(live []fleet.VM, self string) []fleet.VM {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -18,6 +18,7 @@
 	"currantpulley/internal/hop"
 	"currantpulley/internal/metrics"
 	"currantpulley/internal/refusal"
+	"currantpulley/internal/rendezvous"
 	"currantpulley/internal/upstream"
 )
 
@@ -168,6 +169,7 @@
 		return nil, errRepeatHeldUp
 	}
 	g.countSend(q, pick)
+	g.countCrossing(q, pick)
 	err := g.send(q, a, o)
 	if err == nil {
 		return a, nil
@@ -183,6 +185,8 @@
 		CallerResumes: q.route.Kind == catalog.Stream && q.route.Resumable,
 		Left:          q.timeLeft(),
 		Received:      max(q.LastEvent, q.lastRelayed),
+		Bytes:         q.bytes(),
+		Hash:          rendezvous.Weight(crossingSalt, rendezvous.Hash(q.ID)),
 	}
 	if q.service.Engine != nil {
 		w.Prompt = q.Prompt
--- a/internal/metrics/gateway.go
+++ b/internal/metrics/gateway.go
@@ -70,6 +70,8 @@
 	sends     *prometheus.CounterVec
 	tokens    *prometheus.CounterVec
 	placed    *prometheus.CounterVec
+	left      *prometheus.CounterVec
+	leftSize  *prometheus.CounterVec
 	progress  prometheus.Gauge
 	overQuota *prometheus.CounterVec
 
@@ -95,6 +97,8 @@
 		sends:    counter("sends_total", "Requests sent to upstreams by service and by whether they repeat an earlier send.", "service", "kind"),
 		tokens:   counter("prompt_tokens_total", "Tokens of prompts by where the engine was expected to get them.", "source"),
 		placed:   counter("placed_total", "Sends to engines for workspaces by service and place: free while room isn't short, else within the workspace's share or behind others of the rank.", "service", "place"),
+		left:     counter("left_data_centre_total", "Sends to another data centre by service and reason: no upstream here, only there in time, parts of the prompt kept there, or a shorter wait.", "service", "reason"),
+		leftSize: counter("left_data_centre_bytes_total", "About what these sends and their answers carry, by service.", "service"),
 		progress: f.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Subsystem: subsystem, Name: "requests_in_progress", Help: "Requests that arrived and have not ended.",
 		}),
@@ -138,6 +142,14 @@
 	g.placed.WithLabelValues(g.label(g.services, service), string(p)).Inc()
 }
 
+// LeftDataCentre counts a request that goes to another data centre by its reason, and what
+// it carries.
+func (g *Gateway) LeftDataCentre(service, reason string, bytes int) {
+	label := g.label(g.services, service)
+	g.left.WithLabelValues(label, reason).Inc()
+	g.leftSize.WithLabelValues(label).Add(float64(max(0, bytes)))
+}
+
 // Tokens adds n prompt tokens from one source.
 func (g *Gateway) Tokens(s Source, n int) {
 	if n > 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"currantpulley/internal/config"
+	"currantpulley/internal/crossing"
 )
 
 // Settings are the settings of one daemon.
@@ -38,6 +39,35 @@
 	Drain         Drain    `toml:"drain"`
 	Limits        Limits   `toml:"limits"`
 	Bounds        Bounds   `toml:"bounds"`
+	Crossing      Crossing `toml:"crossing"`
+}
+
+// Crossing says what it costs to send a request to an upstream in another data centre, in
+// time that its caller might as well wait. Without any of it the cost is small and fixed.
+type Crossing struct {
+	RoundTrip      config.Duration `toml:"round_trip"`        // between two data centres
+	WaitPerMB      config.Duration `toml:"wait_per_mb"`       // for each megabyte of requests and answers
+	WaitPerCacheGB config.Duration `toml:"wait_per_cache_gb"` // for each gigabyte of cache entries that an engine fetches
+}
+
+// Prices returns the prices of a crossing.
+func (c Crossing) Prices() crossing.Prices {
+	return crossing.Prices{RoundTrip: c.RoundTrip.Std(), PerMB: c.WaitPerMB.Std(), PerCacheGB: c.WaitPerCacheGB.Std()}
+}
+
+// maxCrossing bounds each price of a crossing: no caller waits for longer.
+const maxCrossing = config.Duration(10 * time.Minute)
+
+// checkCrossing reports prices that can't be.
+func (s *Settings) checkCrossing(report func(key, format string, args ...any)) {
+	for key, d := range map[string]config.Duration{
+		"crossing.round_trip": s.Crossing.RoundTrip, "crossing.wait_per_mb": s.Crossing.WaitPerMB,
+		"crossing.wait_per_cache_gb": s.Crossing.WaitPerCacheGB,
+	} {
+		if d < 0 || d > maxCrossing {
+			report(key, "%v is not between 0 and %v", d.Std(), maxCrossing.Std())
+		}
+	}
 }
 
 // Limits are the resource limits of the process. 0 means no limit.
@@ -165,6 +195,7 @@
 	if s.Platform.Store != "" {
 		s.checkBounds(report)
 	}
+	s.checkCrossing(report)
 	if (s.TLS.Cert == "") != (s.TLS.Key == "") {
 		report("tls.cert", "cert and key must be set together")
 	}
