Explain where a request would go now on a platform

Cause: currantpulley explain asks a daemon with a published configuration; on a platform nothing told where a request would go and why. Change: currantpulley explain-route and POST /admin/route on the admin listener: candidates with the parts of their scores, bars, expected times, share, crossing, and the refusal. Balancer.Explain makes the choice of Pick and reserves nothing.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -15,6 +15,7 @@
 	PathDrain    = "/admin/drain"
 	PathExplain  = "/admin/explain"
 	PathTimeline = "/admin/timeline"
+	PathRoute    = "/admin/route"
 )
 
 // ExplainRequest asks how a request would be routed.
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -131,6 +131,7 @@
 		return nil
 	}
 	t.start(best)
+	b.meterWork(w, best, t, now)
 	best.pickedAt = now
 	best.notResumable = !w.Resumable
 	b.recordComputed(best.Upstream.ShortID(), best.prefixes, true, now)
@@ -172,7 +173,7 @@
 		c.score = score
 		c = found.add(c, u.DataCentre == b.opts.DataCentre, !c.unavailable)
 	}
-	best := b.chooseSide(&found, w, t, now)
+	best := b.chooseSide(&found, w, now)
 	if best == nil {
 		return nil
 	}
--- a/internal/balance/crossing.go
+++ b/internal/balance/crossing.go
@@ -115,12 +115,10 @@
 
 // chooseSide returns the better of the candidates here and elsewhere, or nil. Of the
 // requests that leave for a shorter wait only, it keeps as many here as levels the waits.
-func (b *Balancer) chooseSide(s *sides, w *Work, t *timing, now time.Time) *Pick {
+func (b *Balancer) chooseSide(s *sides, w *Work, now time.Time) *Pick {
 	if s.elsewhere == nil || (s.here != nil && !s.elsewhere.isBetter(s.here)) {
-		b.meterWork(w, s.here, t, now)
 		return s.here
 	}
-	b.meterWork(w, s.elsewhere, t, now)
 	if s.here == nil {
 		s.elsewhere.Left = crossing.NoneHere
 		return s.elsewhere
@@ -149,7 +147,7 @@
 
 // meterWork records the work that a request brings, as p would do it.
 func (b *Balancer) meterWork(w *Work, p *Pick, t *timing, now time.Time) {
-	if p != nil && b.opts.Crossing.AreSet() {
+	if b.opts.Crossing.AreSet() {
 		b.crossings.meterOf(w.Service).Add(t.upstreamTime(p), now)
 	}
 }
--- a/internal/balance/filter.go
+++ b/internal/balance/filter.go
@@ -29,6 +29,9 @@
 // barNames are the names of bars in logs.
 var barNames = [barCount]string{"", "replaced", "leaving", "of another build", "paused", "at their limit", "tried", "full", "with old weights"}
 
+// String returns the bar's name in logs; empty for NoBar.
+func (b Bar) String() string { return barNames[b] }
+
 // Barred counts the upstreams of a service that may not get a request, by reason.
 type Barred struct {
 	counts [barCount]int
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,6 +36,7 @@
 	addPublish,
 	addStatus,
 	addExplain,
+	addExplainRoute,
 	addDrain,
 	addTimeline,
 }
--- a/internal/fairness/fairness.go
+++ b/internal/fairness/fairness.go
@@ -240,6 +240,22 @@
 func (t *Table) Place(f Flow, urgency int, id uint64, now time.Time) Place {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	p := t.place(f, urgency, id, now)
+	if p.Behind {
+		p.Begins = now.Sub(t.behind[f]) > episodeGap
+		t.behind[f] = now
+	}
+	return p
+}
+
+// Peek is Place for a request that isn't sent: it begins no episode.
+func (t *Table) Peek(f Flow, urgency int, id uint64, now time.Time) Place {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.place(f, urgency, id, now)
+}
+
+func (t *Table) place(f Flow, urgency int, id uint64, now time.Time) Place {
 	w := t.waits[rank{f.Service, urgency}]
 	if w == nil || w.part() < shortFrom || now.Sub(w.at) > waitMaxAge {
 		return Place{Part: 1}
@@ -256,10 +272,6 @@
 	}
 	p.Part = p.Level / p.Asked
 	p.Behind = fraction(rendezvous.Weight(uint64(f.Workspace), id)) >= p.Part
-	if p.Behind {
-		p.Begins = now.Sub(t.behind[f]) > episodeGap
-		t.behind[f] = now
-	}
 	return p
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -244,8 +244,14 @@
 		return refusal.New(refusal.BadRequest, "%v", err)
 	}
 	q.Call = call
+	return g.resolveCall(q, hostOf(q.r), q.r.URL.Path)
+}
+
+// resolveCall finds the route, workspace and service of a request whose headers are known
+// and sets its deadline.
+func (g *Gateway) resolveCall(q *request, host, path string) error {
 	config := q.snap.Config
-	q.route = config.Match(hostOf(q.r), q.r.URL.Path)
+	q.route = config.Match(host, path)
 	if q.route == nil {
 		return g.staleOr(refusal.New(refusal.NoRoute, "no route matches the host and path"))
 	}
