--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -23,6 +23,7 @@
 	Workspace string          `json:"workspace"`
 	Path      string          `json:"path"`
 	Body      json.RawMessage `json:"body"`
+	MaxWait   time.Duration   `json:"max_wait_ns,omitempty"` // that the caller waits for the first token; 0: any time
 }
 
 // Status is the response to GET /admin/status.
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -20,6 +20,7 @@
 	var daemon adminClient
 	var workspace, path, file string
 	var logs []string
+	var maxWait time.Duration
 	cmd := a.command("explain", "Explain how a request would be routed or, with --log, why a past request ended as it did.", func(ctx context.Context) error {
 		if len(logs) > 0 {
 			return a.explainFromLogs(logs, file)
@@ -34,7 +35,7 @@
 		if !json.Valid(body) {
 			return usage(fmt.Errorf("%s is not valid JSON", file))
 		}
-		q, err := json.Marshal(admin.ExplainRequest{Workspace: workspace, Path: path, Body: body})
+		q, err := json.Marshal(admin.ExplainRequest{Workspace: workspace, Path: path, Body: body, MaxWait: maxWait})
 		if err != nil {
 			return usage(err)
 		}
@@ -46,6 +47,7 @@
 	})
 	addAdminFlag(cmd, &daemon)
 	cmd.Flag("workspace", "Workspace of the request.").StringVar(&workspace)
+	cmd.Flag("wait", "How long the caller waits for the first token.").DurationVar(&maxWait)
 	cmd.Flag("log", "Log file of one or more daemons; may be repeated.").ExistingFilesVar(&logs)
 	cmd.Flag("path", "Path of the request.").Default(prompt.PathChatCompletions).StringVar(&path)
 	cmd.Arg("request", "File with the JSON body of the request; with --log, the request ID.").Required().StringVar(&file)
@@ -67,6 +69,13 @@
 			c.Upstream, owner, c.CachedTokens, c.Expected.Round(time.Millisecond), c.Load, c.Window, c.Excluded)
 	}
 	_ = w.Flush()
+	if e.Refusal != "" {
+		fmt.Fprintf(&b, "refused: %s, retry after %v (%s)", e.Refusal, e.RetryAfter.Round(time.Millisecond), e.Reason)
+		return b.String()
+	}
 	fmt.Fprintf(&b, "picked %s: %s", e.Picked, e.Reason)
+	if e.Wait > 0 {
+		fmt.Fprintf(&b, ", after about %v in this daemon's queue", e.Wait.Round(time.Millisecond))
+	}
 	return b.String()
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -156,7 +156,7 @@
 		return
 	}
 	scope := prompt.Scope{Workspace: ws.Name, Model: m.Name, Adapter: req.Adapter, Weights: m.Weights}
-	writeJSON(w, d.scheduler.Explain(snap, prompt.New(req, scope, m.PieceTokens), ws.Name))
+	writeJSON(w, d.scheduler.ExplainWithin(snap, prompt.New(req, scope, m.PieceTokens), ws.Name, q.MaxWait))
 }
 
 // writeJSON answers with v as indented JSON.
--- a/internal/decide/explain.go
+++ b/internal/decide/explain.go
@@ -6,6 +6,7 @@
 	"currantpulley/internal/config"
 	"currantpulley/internal/pipe"
 	"currantpulley/internal/prompt"
+	"currantpulley/internal/refusal"
 	"currantpulley/internal/snapshot"
 )
 
@@ -33,11 +34,21 @@
 	Candidates []Candidate `json:"candidates"`
 	Picked     string      `json:"picked"` // empty: no upstream is eligible
 	Reason     string      `json:"reason"`
+
+	Wait       time.Duration `json:"wait_ns"`                  // expected in the queue of this daemon
+	Refusal    string        `json:"refusal,omitempty"`        // that the request would get; empty: none
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"` // of the refusal
 }
 
 // Explain returns the decision that a prompt would get now. It reserves nothing
 // and does not count as demand.
 func (s *Scheduler) Explain(snap *snapshot.Snapshot, p *prompt.Prompt, workspace string) Explanation {
+	return s.ExplainWithin(snap, p, workspace, 0)
+}
+
+// ExplainWithin is Explain for a caller that waits so long for the first token; 0: any time.
+// Limits of workspaces are not part of it.
+func (s *Scheduler) ExplainWithin(snap *snapshot.Snapshot, p *prompt.Prompt, workspace string, maxWait time.Duration) Explanation {
 	now := s.clock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -57,17 +68,42 @@
 	out.Candidates = append(out.Candidates, s.unavailable(model)...)
 	if d.best == nil {
 		out.Reason = "no upstream of the model accepts requests"
+		out.Refusal, out.RetryAfter = string(refusal.NoUpstream), noUpstreamRetryAfter
 		return out
 	}
 	uncached := w.promptTokens - d.best.cached
 	if limit := s.fleet.snap.Config.Admission.LongTokens; limit > 0 && uncached+w.outputTokens >= float64(limit) {
 		out.Class = pipe.Long.String()
+		w.long = true
 	}
 	out.Picked = d.best.up.snap.Name
 	out.Reason = reasonOf(d.best, d.ownerCount)
+	s.explainAdmission(&out, &w, d.best, maxWait, now)
 	return out
 }
 
+// explainAdmission adds to out how long the work would wait at this daemon, and the refusal
+// that it would get; see submit.
+func (s *Scheduler) explainAdmission(out *Explanation, w *work, best *candidate, maxWait time.Duration, now time.Time) {
+	t := &ticket{scheduler: s, x: &pipe.Exchange{Workspace: s.fleet.snap.Config.Workspaces[out.Workspace]}, work: *w}
+	if maxWait > 0 {
+		t.x.Deadline = now.Add(maxWait)
+	}
+	direct := s.queue.Len() == 0 && best.hasRoom
+	if !direct {
+		out.Wait = s.queue.Wait(s.newItem(t, best, now), func(o *ticket) bool { return o.target == best.up }, now)
+	}
+	switch {
+	case !meetsDeadline(t, best, out.Wait, now):
+		out.Refusal = string(refusal.DeadlineUnmeetable)
+	case !direct && s.queue.Len() >= s.fleet.snap.Config.Admission.QueueMax:
+		out.Refusal = string(refusal.Overloaded)
+	default:
+		return
+	}
+	out.RetryAfter = s.retryAfter()
+}
+
 func (s *Scheduler) explainCandidate(c *candidate, now time.Time) Candidate {
 	return Candidate{
 		Upstream:     c.up.snap.Name,
