Count only the waits of requests that are sent towards the room of a service

Cause: requests refused as too late were counted with their long waits, though they take no room: the room was taken for smaller than it is, and the replay in internal/fairness leaves them out. Change: a wait is recorded once the request isn't refused for it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,11 +148,11 @@
 	if pick == nil {
 		return nil, g.noUpstream(work)
 	}
-	g.observeWait(q, pick, now)
 	if pick.Late > 0 && !q.headSent {
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
 		return nil, lateRefusal(pick, work.Left)
 	}
+	g.observeWait(q, pick, now)
 	a := &attempt{pick: pick, sentAt: now}
 	q.expected = pick.Wait
 	q.tried = append(q.tried, pick.Upstream.Key())
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -53,7 +53,8 @@
 	return metrics.PlacedFreely
 }
 
-// observeWait records how long the request is expected to wait at p, and be served.
+// observeWait records how long the request, which is about to be sent, is expected to wait
+// at p and be served. One that is refused takes no room and doesn't count.
 func (g *Gateway) observeWait(q *request, p *balance.Pick, now time.Time) {
 	if q.hasShare() {
 		g.opts.Shares.Observe(fairness.ServiceID(q.service.Name), urgency(q.route, q.workspace), p.Ahead, p.Served(), now)
