Move the follower of topics out of platform/

How a topic is followed, proved and fed has nothing of the platform's wire format.

Change: internal/control/follow has the Follower with its types and an interface Source; platform/store implements it for its client and keeps the names of the types. No behaviour is changed; tests change the names of types only.

--- a/platform/store/follow.go
+++ b/internal/control/follow/follow.go
@@ -1,4 +1,6 @@
-package store
+// Package follow follows a keyed topic of a store: it reads its records with long polls,
+// or gets them from another daemon, and proves up to when all of them were read.
+package follow
 
 import (
 	"context"
@@ -35,6 +37,61 @@
 	offsetBits = 44
 )
 
+// Errors of a Source, tested with errors.Is.
+var (
+	// ErrTrimmed: the requested records were trimmed.
+	ErrTrimmed = errors.New("the requested records were trimmed")
+	// ErrMalformed: a response or a record does not follow the protocol.
+	ErrMalformed = errors.New("the store's response is malformed")
+)
+
+// Record is one entry of a topic.
+type Record struct {
+	Offset int64
+	Data   []byte
+}
+
+// Batch holds consecutive records of a topic.
+type Batch struct {
+	Era     uint64 // of the store
+	Records []Record
+	End     int64 // offset of the next record to be appended
+	First   int64 // oldest offset retained
+}
+
+// Item is a record of a keyed topic. An item without a value is a tombstone: it
+// deletes the key.
+type Item struct {
+	Key    string
+	Value  []byte
+	Offset int64
+	// Since is the earliest instant at which the record may have been written, and
+	// Awaited whether the read waited for it, so that it was not written later either.
+	// Both are set by a Follower.
+	Since   freshness.Instant
+	Awaited bool
+}
+
+// Newest holds the newest record of each key of a keyed topic.
+type Newest struct {
+	Items []Item
+	End   int64  // offset to continue reading from; records from there on may be among Items
+	Era   uint64 // of the store
+}
+
+// Source is a keyed topic in the store.
+type Source interface {
+	// Read returns the records from an offset on. If there are none, it waits for the
+	// first one for up to wait. It returns ErrTrimmed if from is no longer retained.
+	Read(ctx context.Context, from int64, wait time.Duration) (Batch, error)
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context) (Newest, error)
+	// Decode splits a record into key and value.
+	Decode(r Record) (Item, error)
+	// Reconnect makes the next call use a new connection.
+	Reconnect()
+}
+
 // Sink receives the records of a keyed topic in order from a Follower, which calls
 // its methods from one goroutine.
 type Sink interface {
@@ -57,8 +114,8 @@
 	PollDone(err error)
 }
 
-// FollowOptions configures a Follower.
-type FollowOptions struct {
+// Options configures a Follower.
+type Options struct {
 	Topic string
 	Wait  time.Duration // maximum wait of a read for a record
 	// Pause is the wait after a read that returned records, so that records that are
@@ -69,27 +126,26 @@
 	Feed *feed.Topic
 }
 
-// Follower reads partition 0 of a keyed topic with long polls and passes its records
-// to a sink.
+// Follower reads a keyed topic with long polls and passes its records to a sink.
 type Follower struct {
-	FollowOptions
-	client     *Client
+	Options
+	source     Source
 	sink       Sink
 	next       int64             // offset to read from; -1: read the newest record of each key first
 	era        uint64            // of the store, in which next is valid
 	hasEra     bool              // era was received
 	restoredAt freshness.Instant // when a new era was first seen; 0: never
 	proved     freshness.Instant // latest instant reported to Sink.Proved
-	pauses     *freshness.Pauses // of the process, unlike FollowOptions.Pause
+	pauses     *freshness.Pauses // of the process, unlike Options.Pause
 	interrupts chan struct{}
 	lastFailed bool              // the last poll failed
 	regainedAt freshness.Instant // when a poll last succeeded after a failed one; 0: never
 	prover     prover
 }
 
-// Follow returns a follower, which reads once Run is called.
-func (c *Client) Follow(o FollowOptions, sink Sink) *Follower {
-	f := &Follower{FollowOptions: o, client: c, sink: sink, next: -1, interrupts: make(chan struct{}, 1)}
+// New returns a follower of a source, which reads once Run is called.
+func New(source Source, o Options, sink Sink) *Follower {
+	f := &Follower{Options: o, source: source, sink: sink, next: -1, interrupts: make(chan struct{}, 1)}
 	f.prover.turn = make(chan struct{}, 1)
 	f.prover.turn <- struct{}{}
 	return f
@@ -122,7 +178,7 @@
 		}
 		if errors.Is(err, errInterrupted) {
 			f.Feed.Distrust()
-			f.client.http.CloseIdleConnections()
+			f.source.Reconnect()
 			continue
 		}
 		f.sink.PollDone(err)
@@ -182,7 +238,7 @@
 	if f.lastFailed {
 		wait = 0 // only checks whether the store is reachable again
 	}
-	batch, err := f.client.Read(ctx, f.Topic, 0, f.next, wait)
+	batch, err := f.source.Read(ctx, f.next, wait)
 	if errors.Is(err, ErrTrimmed) {
 		f.next = -1
 		return nil
@@ -264,7 +320,7 @@
 // reset reads the newest record of each key and resets the sink.
 func (f *Follower) reset(ctx context.Context) error {
 	sent := freshness.Now()
-	newest, err := f.client.Newest(ctx, f.Topic, 0)
+	newest, err := f.source.Newest(ctx)
 	if err != nil {
 		return err
 	}
@@ -311,7 +367,7 @@
 
 // apply decodes a record and passes it to the sink.
 func (f *Follower) apply(r Record, since freshness.Instant, awaited bool) {
-	item, err := DecodeItem(r)
+	item, err := f.source.Decode(r)
 	if err != nil {
 		f.sink.Skipped(r.Offset, err)
 		return
--- a/platform/store/prove.go
+++ b/internal/control/follow/prove.go
@@ -1,4 +1,4 @@
-package store
+package follow
 
 import (
 	"context"
@@ -66,7 +66,7 @@
 	if known == nil {
 		return errors.New("nothing was read yet")
 	}
-	batch, err := f.client.Read(ctx, f.Topic, 0, known.next, 0)
+	batch, err := f.source.Read(ctx, known.next, 0)
 	if err != nil {
 		return err
 	}
