Let operators state what they tolerate beyond quotas

Ruled out: a longer fixed life, which exceeds what is tolerated for large quotas.

Change: settings bounds.quota_window, quota_overage and quota_slack; three quarters of what they tolerate prolong the life of tokens. Without them nothing changes.

Tests: go test ./internal/quota ./internal/control/quotas pass; the life of each rate from 10 to 1e9 fits into the tolerance.

--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -26,6 +26,7 @@
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/peer"
 	"currantpulley/internal/quarantine"
+	"currantpulley/internal/quota"
 	"currantpulley/internal/ratelimit"
 	"currantpulley/internal/settings"
 	"currantpulley/internal/upstream"
@@ -110,6 +111,7 @@
 	})
 	p.quotas = quotas.New(quotas.Options{
 		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, InContact: p.inContact,
+		Tolerance: quota.Tolerance{Window: s.Bounds.QuotaWindow.Std(), Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack},
 	})
 	p.exchange = exchange.New(exchange.Options{
 		Loop: p.loop, Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r,
--- a/internal/control/quotas/quotas.go
+++ b/internal/control/quotas/quotas.go
@@ -42,7 +42,7 @@
 	owners       = 2 // daemons that may hold a workspace's tokens: the second if the first is gone
 )
 
-// Options holds the dependencies of Quotas. All fields are required.
+// Options holds the dependencies of Quotas. All fields but Tolerance are required.
 type Options struct {
 	Pool     *peer.Pool
 	Self     string            // name of this VM
@@ -51,6 +51,7 @@
 	Watcher  *catalog.Watcher
 	// InContact reports whether this daemon is in contact with the others or the store.
 	InContact func() bool
+	Tolerance quota.Tolerance // of what is taken beyond quotas
 }
 
 // Quotas admits requests of workspaces with a quota. It is safe for concurrent use.
@@ -81,7 +82,7 @@
 // New returns Quotas that know no workspace.
 func New(o Options) *Quotas {
 	return &Quotas{
-		opts: o, book: quota.NewBook(), avoided: make(map[string]time.Time),
+		opts: o, book: quota.NewBook(o.Tolerance), avoided: make(map[string]time.Time),
 		refused: make(map[quota.ID]refusal), recorded: make(map[string]time.Time),
 	}
 }
--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -22,8 +22,9 @@
 // Book holds one daemon's tokens of all workspaces with a quota. It is not safe for
 // concurrent use.
 type Book struct {
-	part     float64 // of each quota that this daemon mints
-	accounts map[ID]*account
+	tolerance Tolerance
+	part      float64 // of each quota that this daemon mints
+	accounts  map[ID]*account
 }
 
 // account is the tokens of one workspace.
@@ -33,8 +34,8 @@
 	minted time.Time // up to which tokens were minted
 }
 
-// NewBook returns a book without workspaces.
-func NewBook() *Book { return &Book{accounts: make(map[ID]*account)} }
+// NewBook returns a book without workspaces, whose quotas may be exceeded by t.
+func NewBook(t Tolerance) *Book { return &Book{tolerance: t, accounts: make(map[ID]*account)} }
 
 // SetPart sets the part of each quota that this daemon mints from now on.
 func (b *Book) SetPart(part float64, now time.Time) {
@@ -55,10 +56,10 @@
 	for id, q := range quotas {
 		switch a := b.accounts[id]; {
 		case a == nil:
-			b.accounts[id] = &account{quota: q, bucket: newBucket(q, now), minted: now}
+			b.accounts[id] = &account{quota: q, bucket: newBucket(q, b.tolerance.life(q), now), minted: now}
 		case a.quota != q:
 			a.mint(b.part, now)
-			a.change(q, now)
+			a.change(q, b.tolerance.life(q), now)
 		}
 	}
 }
@@ -158,7 +159,7 @@
 func (a *account) mint(part float64, now time.Time) {
 	a.bucket.advance(now)
 	from := a.minted
-	if oldest := now.Add(-a.quota.life()); from.Before(oldest) {
+	if oldest := now.Add(-a.bucket.life()); from.Before(oldest) {
 		a.bucket.owed = max(0, a.bucket.owed-part*a.quota.Rate*oldest.Sub(from).Seconds())
 		from = oldest
 	}
@@ -178,10 +179,10 @@
 }
 
 // change replaces the quota. Tokens keep their ages.
-func (a *account) change(q Quota, now time.Time) {
+func (a *account) change(q Quota, life time.Duration, now time.Time) {
 	old, oldRate := a.bucket, a.quota.Rate
 	sameUnit := q.Unit == a.quota.Unit
-	a.quota, a.bucket = q, newBucket(q, now)
+	a.quota, a.bucket = q, newBucket(q, life, now)
 	if !sameUnit || q.Rate <= 0 || oldRate <= 0 {
 		return
 	}
--- a/internal/quota/book_test.go
+++ b/internal/quota/book_test.go
@@ -11,7 +11,7 @@
 // has been filling for a long time.
 func newTestBook(q Quota) (*Book, time.Time) {
 	now := time.Unix(1000, 0)
-	b := NewBook()
+	b := NewBook(Tolerance{})
 	b.SetQuotas(map[ID]Quota{simID: q}, now)
 	b.SetPart(1, now)
 	return b, now.Add(time.Minute)
@@ -93,3 +93,22 @@
 		t.Error("an absurd number of daemons is believed")
 	}
 }
+
+// Tokens live longer where operators tolerate more, and all that live at the start of a
+// window fit into what they tolerate.
+func TestLifeFollowsTheTolerance(t *testing.T) {
+	tolerance := Tolerance{Window: 8 * time.Second, Overage: 0.1, Slack: 110_000}
+	last := time.Hour
+	for _, rate := range []float64{10, 29_000, 108_000, 700_000, 1e9} {
+		q := Quota{Rate: rate, Burst: rate, Unit: Tokens}
+		life := tolerance.life(q)
+		if life > last {
+			t.Errorf("%v: tokens live for %v, longer than those of a lower rate", q, life)
+		}
+		last = life
+		taken := rate * (tolerance.Window + life).Seconds()
+		if most := (rate*tolerance.Window.Seconds()+q.Burst)*(1+tolerance.Overage) + tolerance.Slack; taken > most {
+			t.Errorf("%v: %g are taken in a window, %g are tolerated", q, taken, most)
+		}
+	}
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -14,13 +14,19 @@
 	owed  float64        // tokens that were taken ahead, and are paid first
 }
 
-// newBucket returns the empty bucket of a quota.
-func newBucket(q Quota, now time.Time) bucket {
-	b := bucket{width: q.life() / slots, most: q.Rate * q.life().Seconds()}
+// minWidth keeps steps from vanishing where neither burst nor tolerance is given.
+const minWidth = time.Millisecond
+
+// newBucket returns the empty bucket of a quota whose tokens live for a time.
+func newBucket(q Quota, life time.Duration, now time.Time) bucket {
+	b := bucket{width: max(minWidth, life/slots), most: q.Rate * life.Seconds()}
 	b.step = b.stepAt(now)
 	return b
 }
 
+// life returns the time for which a token can be taken.
+func (b *bucket) life() time.Duration { return b.width * slots }
+
 func (b *bucket) stepAt(t time.Time) int64 { return t.UnixNano() / int64(b.width) }
 
 // slot returns the tokens that were minted in a step, which is negative for one before
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -72,20 +72,37 @@
 	return q.Plain
 }
 
-// moveTime is added to the life of tokens: the time in which they reach the daemon
-// that needs them.
-const moveTime = 800 * time.Millisecond
+// Tolerance is what may be taken beyond a quota in any time of a length: a share of rate
+// x window + burst, and a number of units. The zero value states none.
+type Tolerance struct {
+	Window  time.Duration
+	Overage float64 // share
+	Slack   float64 // units
+}
 
-// maxLife bounds the life of a token.
-const maxLife = time.Hour
+const (
+	// moveTime is added to the life of tokens if no tolerance is stated: the time in which
+	// they reach the daemon that needs them.
+	moveTime = 800 * time.Millisecond
+	// toleranceUsed is the share of a tolerance that prolongs the life of tokens. The rest
+	// is for daemons that join, and for debts.
+	toleranceUsed = 0.75
+	// maxLife bounds the life of a token.
+	maxLife = time.Hour
+)
 
-// life returns the time after its minting in which a token can be taken.
-func (q Quota) life() time.Duration {
+// life returns the time after its minting in which a token of q can be taken.
+func (t Tolerance) life(q Quota) time.Duration {
 	if q.Rate <= 0 {
 		return moveTime
 	}
-	seconds := min(q.Burst/q.Rate, maxLife.Seconds())
-	return time.Duration(seconds*float64(time.Second)) + moveTime
+	burst := q.Burst / q.Rate // seconds
+	extra := moveTime.Seconds()
+	if t.Window > 0 {
+		window := t.Window.Seconds()
+		extra = min(window, toleranceUsed*(t.Overage*(window+burst)+t.Slack/q.Rate))
+	}
+	return time.Duration(min(burst+extra, maxLife.Seconds()) * float64(time.Second))
 }
 
 // ID identifies a workspace between daemons.
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -60,7 +60,7 @@
 
 // start starts daemon i, which remembers nothing. Each has a clock of its own.
 func (f *fleet) start(i int) {
-	d := &node{up: true, joined: f.tick, skew: time.Duration(f.Int64N(int64(time.Minute))), book: NewBook()}
+	d := &node{up: true, joined: f.tick, skew: time.Duration(f.Int64N(int64(time.Minute))), book: NewBook(Tolerance{})}
 	d.book.SetQuotas(map[ID]Quota{simID: simQuota}, f.now.Add(d.skew))
 	f.nodes[i] = d
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -86,6 +86,9 @@
 	RetryRatio    float64         `toml:"retry_ratio"`    // retries per request, over all daemons
 	RetryExtra    float64         `toml:"retry_extra"`    // retries in a window beyond the ratio, over all daemons
 	RetryWindow   config.Duration `toml:"retry_window"`
+	QuotaWindow   config.Duration `toml:"quota_window"`  // length of time to which the next two apply; 0: nothing is tolerated
+	QuotaOverage  float64         `toml:"quota_overage"` // share of a workspace's quota that may be taken beyond it
+	QuotaSlack    float64         `toml:"quota_slack"`   // units of a quota that may be taken beyond that
 }
 
 // Platform holds the addresses of the platform's services.
@@ -223,4 +226,7 @@
 	if b.RetryRatio < 0 || b.RetryExtra < 0 {
 		report("bounds.retry_ratio", "retry_ratio and retry_extra must not be negative")
 	}
+	if b.QuotaWindow < 0 || b.QuotaOverage < 0 || b.QuotaSlack < 0 {
+		report("bounds.quota_window", "quota_window, quota_overage and quota_slack must not be negative")
+	}
 }
