Soak a workspace with a quota

Change: every fourth caller of the soak belongs to a workspace with a quota of 20 requests a second; rule QUOTA counts its runs at all upstreams in any 8 s. Routes are public, so the other callers need no key.

--- a/bench/soak/caller/attempt.go
+++ b/bench/soak/caller/attempt.go
@@ -73,6 +73,9 @@
 			q.method, q.path = http.MethodGet, route.Prefix+id
 		}
 	}
+	if site.HasQuota(c.number) {
+		q.header = append(q.header, names.APIKey, site.Workspace.Keys[0])
+	}
 	if c.chance(keyShare) {
 		name := []string{"Idempotency-Key", "X-Idempotency-Key"}[c.random.IntN(2)]
 		q.header = append(q.header, name, q.id)
@@ -137,8 +140,13 @@
 }
 
 func (c *caller) newCall(q *request) record.Call {
+	workspace := ""
+	if site.HasQuota(c.number) {
+		workspace = site.Workspace.Name
+	}
 	return record.Call{
-		Attempt: c.newID(), Request: q.id, Service: q.route.Service, Route: q.route.Name, Once: q.route.Once(), Method: q.method,
+		Workspace: workspace,
+		Attempt:   c.newID(), Request: q.id, Service: q.route.Service, Route: q.route.Name, Once: q.route.Once(), Method: q.method,
 		Limit: min(time.Until(q.deadline), q.route.Timeout), Total: q.events, Chunked: q.chunked, Digest: q.digest,
 	}
 }
--- a/bench/soak/check/check.go
+++ b/bench/soak/check/check.go
@@ -35,12 +35,13 @@
 	RuleBrittle  = "BRITTLE"  // upstreams that say so end because they have to reject too many
 	RuleLeaving  = "LEAVING"  // an upstream gets calls of a daemon long after it has told it that it leaves
 	RulePause    = "PAUSE"    // an upstream gets calls of a daemon in the time for which it has told it that it wants none
+	RuleQuota    = "QUOTA"    // a workspace's calls run more often than its quota allows
 	RuleLimit    = "LIMIT"    // an upstream gets more than the limit that it states
 )
 
 // Rules lists the rules in the order of the report.
 var Rules = []string{
-	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleUnasked, RuleOrder, RuleLost, RuleAttempts, RuleGone, RuleLate, RuleDenied, RuleRecover, RuleMemory, RuleCrashes, RuleSame, RuleCut, RuleBrittle, RuleLimit,
+	RuleTwice, RuleRefused, RuleBudget, RuleMixed, RuleUnasked, RuleOrder, RuleLost, RuleAttempts, RuleGone, RuleLate, RuleDenied, RuleRecover, RuleMemory, RuleCrashes, RuleSame, RuleCut, RuleBrittle, RuleLimit, RuleQuota,
 	RuleLeaving, RulePause,
 }
 
@@ -55,7 +56,7 @@
 func All(r *record.All) []Finding {
 	return slices.Concat(
 		Twice(r), Refused(r), Budget(r, site.RetryRatio, site.RetryExtra, site.RetryWindow),
-		Mixed(r), Unasked(r), Order(r), Lost(r), Attempts(r), Gone(r), Late(r), Denied(r), Recover(r), Memory(r), Crashes(r), Same(r), Cut(r), Brittle(r), Limits(r), Leaving(r), Pauses(r),
+		Mixed(r), Unasked(r), Order(r), Lost(r), Attempts(r), Gone(r), Late(r), Denied(r), Recover(r), Memory(r), Crashes(r), Same(r), Cut(r), Brittle(r), Limits(r), Quota(r), Leaving(r), Pauses(r),
 	)
 }
 
--- a/bench/soak/check/check_test.go
+++ b/bench/soak/check/check_test.go
@@ -147,6 +147,16 @@
 				r.Arrivals[i].Fell = true
 			}
 		}},
+		{"more than a quota", RuleQuota, func(r *record.All) {
+			for i := range 300 {
+				id := fmt.Sprint("over", i)
+				r.Arrivals = append(r.Arrivals, record.Arrival{Attempt: id, Service: site.Plain, Upstream: "i-0-0", At: at(4000 + i*25), Ran: true, Status: 200, Seal: id, Method: "POST"})
+				r.Calls = append(r.Calls, record.Call{
+					Attempt: id, Request: id, Service: site.Plain, Route: "once", Once: true, Method: "POST", Daemon: "d", Workspace: site.Workspace.Name,
+					Sent: at(4000 + i*25), Done: at(4010 + i*25), Limit: time.Second, Outcome: record.Answered, Status: 200, Seal: id,
+				})
+			}
+		}},
 		{"more than a stated limit", RuleLimit, func(r *record.All) {
 			for i := range r.Arrivals[:200] {
 				r.Arrivals[i].Limit = 1
--- a/bench/soak/installation.go
+++ b/bench/soak/installation.go
@@ -115,6 +115,9 @@
 		MemoryMB: site.MemoryMB, GraceS: site.StopGrace.Seconds(),
 		RetryRatio: site.RetryRatio, RetryExtra: site.RetryExtra, RetryWindowS: int(site.RetryWindow.Seconds()),
 	}
+	if f.oldBuild == "" { // an old build may not know these settings
+		boot.QuotaWindowS, boot.QuotaOverage, boot.QuotaSlack = int(site.QuotaWindow.Seconds()), site.QuotaOverage, site.QuotaSlack
+	}
 	in.plan.Daemons = append(in.plan.Daemons, boot.Front)
 	file := filepath.Join(in.plan.Dir, name+".toml")
 	argv := []string{cmp.Or(f.oldBuild, f.binary), "platform"}
--- a/bench/soak/record/record.go
+++ b/bench/soak/record/record.go
@@ -82,6 +82,7 @@
 	Events    []Event       `json:"events,omitempty"`
 	LastEvent int           `json:"lastEvent"` // that the caller had before this attempt
 	Total     int           `json:"total"`     // events of the whole stream
+	Workspace string        `json:"workspace,omitempty"`
 }
 
 // Event is an event of a stream as the caller read it.
--- a/bench/soak/site/site.go
+++ b/bench/soak/site/site.go
@@ -80,17 +80,30 @@
 	Routes      = []Route{RouteOnce, RouteSafe, RouteStream, RouteTalk}
 )
 
+// Workspace is the only workspace with a quota: that of every fourth caller.
+var Workspace = names.Workspace{Name: "quota", Keys: []string{"quota-key"}, Rate: 20, Burst: 20}
+
+// HasQuota reports whether the caller with a number belongs to Workspace.
+func HasQuota(caller int) bool { return caller%4 == 3 }
+
+// What may run beyond the quota in a window of time.
+const (
+	QuotaWindow  = 8 * time.Second
+	QuotaOverage = 0.1
+	QuotaSlack   = 40 // requests
+)
+
 // MaxAttempts is the number of upstreams to which one call may be sent.
 const MaxAttempts = 2
 
 // Config returns a version of the operators' configuration. Each has another route that
 // no caller uses.
 func Config(version int) names.Config {
-	c := names.Config{Version: version}
+	c := names.Config{Version: version, Workspaces: []names.Workspace{Workspace}}
 	for _, r := range Routes {
 		c.Routes = append(c.Routes, names.Route{
 			Name: r.Name, Host: Host, Prefix: r.Prefix, Kind: r.Kind, Service: r.Service, TimeoutMS: int(r.Timeout.Milliseconds()),
-			LatencyMS: int(r.Timeout.Milliseconds()) / 4, MaxAttempts: MaxAttempts, Prompted: r.Stream(), Resumable: r.Resumable,
+			LatencyMS: int(r.Timeout.Milliseconds()) / 4, MaxAttempts: MaxAttempts, Prompted: r.Stream(), Resumable: r.Resumable, Public: true,
 		})
 	}
 	unused := c.Routes[0]
--- a/bench/soak/upstream/plant.go
+++ b/bench/soak/upstream/plant.go
@@ -41,7 +41,7 @@
 	if rule == check.RuleLeaving || rule == check.RulePause {
 		return true
 	}
-	if rule == check.RuleLimit || rule == check.RuleCrashes || rule == check.RuleSame || rule == check.RuleBrittle {
+	if rule == check.RuleQuota || rule == check.RuleLimit || rule == check.RuleCrashes || rule == check.RuleSame || rule == check.RuleBrittle {
 		return strings.HasPrefix(r.URL.Path, site.RouteSafe.Prefix)
 	}
 	if rule == check.RuleDenied {
@@ -60,6 +60,11 @@
 			u.record(a)
 		}
 	}
+	if u.plants(check.RuleQuota, r) {
+		for range plantedRepeats {
+			u.record(a)
+		}
+	}
 	u.recordPlantedBounds(a, r)
 	if u.plants(check.RuleBudget, r) {
 		a.Ran, a.Seal = false, ""
