Keep trust in a reader after a proof of the moment, and tell only a loss

Change: after a proof's interrupt only the next read goes to the store; a peer that is further still makes the daemon read for itself for a while. 7020 is recorded only by a daemon that was fed.

Tests: TestLossIsToldOnce; go test -race ./platform/store ./internal/control/feed.

--- a/internal/control/feed/source.go
+++ b/internal/control/feed/source.go
@@ -42,6 +42,7 @@
 	mu       sync.Mutex
 	failures map[string]failures // by reader, since its last proper reply
 	ownUntil freshness.Instant   // this daemon reads for itself until then
+	isFed    bool                // the last read was from a reader
 	isLost   bool                // this daemon reads for itself since the feed failed
 }
 
@@ -63,7 +64,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.isAmong(readers) {
-		s.isLost = false
+		s.isFed, s.isLost = false, false
 		return "", false
 	}
 	if now < s.ownUntil {
@@ -97,17 +98,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.failures, reader)
-	wasLost, s.isLost = s.isLost, false
+	wasLost, s.isFed, s.isLost = s.isLost, true, false
 	return wasLost
 }
 
 // fellBack notes that this daemon reads for itself since the feed failed, and reports
-// whether that is new.
-func (s *source) fellBack() (isNew bool) {
+// whether it was fed until now. It is not while daemons still get to know each other.
+func (s *source) fellBack() (wasFed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isNew, s.isLost = !s.isLost, true
-	return isNew
+	wasFed = s.isFed
+	s.isFed, s.isLost = false, s.isLost || wasFed
+	return wasFed
 }
 
 // distrust makes this daemon read for itself for a while from now on. spread, from 0 to
--- a/internal/control/feed/source_test.go
+++ b/internal/control/feed/source_test.go
@@ -36,7 +36,7 @@
 // A daemon must leave a reader that fails, read for itself when both fail or it was fed
 // too little, and come back later, ever more slowly to a reader that goes on failing.
 func TestChoiceOfTheSource(t *testing.T) {
-	const self, second = "vm-self", "own"
+	const self = "vm-self"
 	begin := freshness.Instant(time.Hour)
 	s := newSource(self)
 	readers := []string{"a", "b"}
@@ -80,3 +80,24 @@
 		t.Error("a daemon is fed in a small data centre")
 	}
 }
+
+// The loss of the feed must be told once, and not while daemons still get to know each
+// other.
+func TestLossIsToldOnce(t *testing.T) {
+	s := newSource("vm-self")
+	for i, step := range []struct {
+		act  func() bool
+		told bool
+	}{
+		{s.fellBack, false},
+		{func() bool { return s.succeeded("a") }, false},
+		{s.fellBack, true},
+		{s.fellBack, false},
+		{func() bool { return s.succeeded("a") }, true},
+		{func() bool { return s.succeeded("a") }, false},
+	} {
+		if step.act() != step.told {
+			t.Errorf("step %d: told is not %t", i, step.told)
+		}
+	}
+}
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"currantpulley/internal/control/feed"
@@ -138,6 +139,7 @@
 	proved     freshness.Instant // latest instant reported to Sink.Proved
 	pauses     *freshness.Pauses // of the process, unlike Options.Pause
 	interrupts chan struct{}
+	direct     atomic.Bool       // the next poll reads from the store
 	lastFailed bool              // the last poll failed
 	regainedAt freshness.Instant // when a poll last succeeded after a failed one; 0: never
 	prover     prover
@@ -158,8 +160,15 @@
 
 // Interrupt cancels the pending read and starts a new one on a new connection. It is
 // called when newer records are known to exist, which a read on a connection that
-// hangs doesn't return.
+// hangs doesn't return, or a daemon that reads for this one.
 func (f *Follower) Interrupt() {
+	f.Feed.Distrust()
+	f.interrupt()
+}
+
+// interrupt makes the follower read from the store now.
+func (f *Follower) interrupt() {
+	f.direct.Store(true)
 	select {
 	case f.interrupts <- struct{}{}:
 	default:
@@ -177,7 +186,7 @@
 			return
 		}
 		if errors.Is(err, errInterrupted) {
-			f.Feed.Distrust()
+			f.direct.Store(true)
 			f.source.Reconnect()
 			continue
 		}
@@ -223,9 +232,11 @@
 	if f.next < 0 {
 		return f.reset(ctx)
 	}
-	if batch, ok := f.Feed.Read(ctx, f.era, f.next); ok {
-		f.applyFed(batch)
-		return nil
+	if !f.direct.Swap(false) {
+		if batch, ok := f.Feed.Read(ctx, f.era, f.next); ok {
+			f.applyFed(batch)
+			return nil
+		}
 	}
 	longest, pause := f.Wait, f.Pause
 	if f.Feed.Serves() {
--- a/internal/control/follow/prove.go
+++ b/internal/control/follow/prove.go
@@ -72,7 +72,7 @@
 	}
 	isBehind := func() bool { return known.era != batch.Era || known.next < batch.End }
 	if isBehind() {
-		f.Interrupt() // the follower may pause or wait on a connection that hangs
+		f.interrupt() // the follower may pause, or wait on a connection that hangs or for a reader that pauses
 	}
 	for isBehind() {
 		if sleep(ctx, applyPoll); ctx.Err() != nil {
