--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -277,3 +278,53 @@
 		}
 	}
 }
+
+// Load that it answers: a workspace whose quota of a second holds three of its long
+// requests uses 0.56 of it on average, at any of 141 daemons. An ideal bucket without
+// tolerance refuses 0.026 of these requests.
+func TestToleranceServesLongRequests(t *testing.T) {
+	const (
+		rate      = 29_000.0
+		longShare = 0.65
+		long      = 9200.0 // tokens on average
+		short     = 826.0
+		use       = 0.56
+	)
+	f := newFleet(7, 141)
+	for _, d := range f.nodes {
+		d.book = NewBook(Tolerance{Window: simWindow, Overage: 0.1, Slack: 110_000})
+		d.book.SetQuotas(map[ID]Quota{simID: {Rate: rate, Burst: rate, Unit: Tokens}}, f.time(d))
+	}
+	for range 200 {
+		f.step(0, 1)
+	}
+	mean := longShare*long + (1-longShare)*short
+	for range 12_000 {
+		f.step(0, 1)
+		if f.Float64() > use*rate/mean*simTick.Seconds() {
+			continue
+		}
+		size := short
+		if f.Float64() < longShare {
+			size = long * math.Exp(0.5*f.NormFloat64()-0.125)
+		}
+		f.asked++
+		if f.grant(f.nodes[f.IntN(len(f.nodes))], size) {
+			f.served++
+		}
+	}
+	if share := f.served / f.asked; share < 0.99 {
+		t.Errorf("%.3f of the requests were served", share)
+	}
+}
+
+// grant reports whether a daemon gets the tokens of a request.
+func (f *fleet) grant(d *node, size float64) bool {
+	own := d.book.TakeUpTo(simID, size, f.time(d))
+	h := f.nodes[f.holder(0)]
+	_, _, ok := h.book.Take(simID, max(1, size-Sum(own)), f.time(h))
+	if !ok {
+		d.book.Restore(simID, own, f.time(d), f.time(d))
+	}
+	return ok
+}
