Divide room from the first waits on, not once they are as long as the answers

Cause: shares applied only while requests waited for longer than they are served. Change: they apply from a tenth on. What goes behind grows with the wait as before. Test: what counts as room in TestNobodyGoesBehindWithoutNeed follows the new bound.

--- a/internal/fairness/fairness.go
+++ b/internal/fairness/fairness.go
@@ -26,9 +26,9 @@
 	waitTime = 2 * time.Second
 	// waitMaxAge is the age from which an observed wait says nothing about the present.
 	waitMaxAge = 3 * time.Second
-	// shortFrom is the part of a request's time spent behind other work from which room
-	// counts as short: it waits for longer than it is served.
-	shortFrom = 0.5
+	// shortFrom is the part of requests' time spent behind other work from which room counts
+	// as short. What goes behind then grows with that part.
+	shortFrom = 0.1
 	// episodeGap is the time without requests beyond a workspace's share after which the
 	// next one counts as a new episode.
 	episodeGap = 5 * time.Second
