Divide room over workspaces only where the configuration states quotas

Ruled out: a switch in the settings, which would say again what the quotas say. Change: catalog.Config.HasQuotas; requests take no part in the division where it is false.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -121,6 +121,7 @@
 	Stores     []*CacheStore         // of all services, sorted by address
 	Workspaces map[string]*Workspace // by key
 	NeedsKey   bool                  // routes that are not public need a key
+	HasQuotas  bool                  // some workspaces have quotas
 	Limits     Limits
 }
 
--- a/internal/gateway/shares.go
+++ b/internal/gateway/shares.go
@@ -12,9 +12,10 @@
 )
 
 // hasShare reports whether the request takes part in the division of its service's room
-// over workspaces.
+// over workspaces. Operators who state quotas want workspaces kept apart; without any,
+// urgency alone orders the requests.
 func (q *request) hasShare() bool {
-	return q.workspace != nil && q.Prompt != nil && q.service.Engine != nil
+	return q.snap.Config.HasQuotas && q.workspace != nil && q.Prompt != nil && q.service.Engine != nil
 }
 
 // flow returns the work that the request belongs to.
--- a/internal/gateway/shares_test.go
+++ b/internal/gateway/shares_test.go
@@ -13,6 +13,7 @@
 // shareRequest returns a request of a workspace for an engine, on a route of the given rank.
 func shareRequest(workspace string, rank int) *request {
 	return &request{
+		snap:      &catalog.Snapshot{Config: &catalog.Config{HasQuotas: true}},
 		Call:      Call{ID: "id", Prompt: &balance.Prompt{Tokens: 1000, Output: 10}},
 		route:     &catalog.Route{Rank: rank},
 		service:   &catalog.Service{Name: "engines", Engine: &catalog.Engine{}},
@@ -59,13 +60,15 @@
 	return id
 }
 
-// Requests without a workspace or a prompt have no share.
+// Requests without a workspace or a prompt have no share, nor have any where no workspace
+// has a quota.
 func TestRequestsWithoutAShare(t *testing.T) {
 	g := New(Options{Recorder: event.Discard{}})
-	public, call := shareRequest("a", 1), shareRequest("a", 1)
+	public, call, unlimited := shareRequest("a", 1), shareRequest("a", 1), shareRequest("a", 1)
 	public.workspace = nil
 	call.Prompt = nil
-	for _, q := range []*request{public, call} {
+	unlimited.snap.Config.HasQuotas = false
+	for _, q := range []*request{public, call, unlimited} {
 		g.beginShare(q)()
 		g.observeWait(q, &balance.Pick{}, time.Unix(10, 0))
 		if g.setUrgency(q, time.Unix(10, 0)); q.urgency != urgency(q.route, q.workspace) {
