Test that crowds of callers end no process

Change: real processes on loopback, own mode and platform, on a machine of 96 MB: 40 callers, bodies of 4 MB, most stopping a byte short of their end; five kinds of bodies, slow readers and half heads. Crowd and bounds are fixed here.

--- /dev/null
+++ b/internal/daemon/crowds_test.go
@@ -0,0 +1,120 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"currantpulley/internal/backing/httplog"
+	"currantpulley/internal/config"
+	"currantpulley/internal/control/publish"
+	"currantpulley/internal/fake/crowd"
+	"currantpulley/internal/fake/fakelog"
+)
+
+// crowdHost is a loopback address at which only daemons of these tests listen.
+const crowdHost = "127.0.97.1"
+
+const (
+	crowdBody   = 4 << 20 // bytes
+	crowdHeader = 1 << 20 // bytes
+	longPart    = 1 << 20 // bytes
+	longParts   = 64      // of a long answer; the kernel's buffers hold some of them
+	crowdKey    = "crowd-key"
+)
+
+// crowdUpstream reads bodies, and answers at length on the path /stock/long.
+func crowdUpstream(t *testing.T) string {
+	t.Helper()
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if strings.HasSuffix(r.URL.Path, "long") {
+			for range longParts {
+				_, _ = w.Write(bytes.Repeat([]byte("y"), longPart))
+			}
+		}
+	}))
+	s.Config.IdleTimeout = time.Second // an idle connection takes a descriptor of the daemon
+	s.Start()
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// crowdAddress returns a free address of crowdHost.
+func crowdAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", crowdHost+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// startCrowdDaemon starts a daemon process on a machine with little memory and returns
+// its address for callers.
+func startCrowdDaemon(t *testing.T, binary string) (*crowd.Process, string) {
+	t.Helper()
+	log := httptest.NewServer(fakelog.New())
+	t.Cleanup(log.Close)
+	listen := crowdAddress(t)
+	file := filepath.Join(t.TempDir(), "settings.toml")
+	text := fmt.Sprintf("vm = \"vm-1\"\ndata_centre = \"d\"\nsite = \"s\"\nlisten = %q\npeer_listen = %q\nadmin_listen = %q\n"+
+		"log_level = \"error\"\n[platform]\nlog = %q\n[limits]\nmemory_mb = %d\n",
+		listen, crowdAddress(t), crowdAddress(t), log.URL, crowd.MemoryMB)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := crowd.Start(t, nil, binary, "--settings", file)
+	publishForCrowd(t, log.URL)
+	return p, listen
+}
+
+// publishForCrowd publishes a configuration with one plain service.
+func publishForCrowd(t *testing.T, logURL string) {
+	t.Helper()
+	base := fmt.Sprintf("schema = 1\n[caller]\nmax_body = \"%dMiB\"\nmax_header = \"%dMiB\"\n"+
+		"[workspaces.w]\nkey_sha256 = [\"%x\"]\nrequests_per_second = 100000\n"+
+		"[routes.stock]\npath = \"/stock\"\nmethods = [\"GET\", \"POST\"]\nservice = \"ledger\"\nrepeatable = true\n",
+		crowdBody>>20, crowdHeader>>20, sha256.Sum256([]byte(crowdKey)))
+	overlay := fmt.Sprintf("schema = 1\nsite = \"s\"\n[upstreams.u]\nkind = \"service\"\naddress = %q\ndata_centre = \"d\"\nservice = \"ledger\"\n",
+		crowdUpstream(t))
+	set, err := config.Parse([]config.File{{Name: "base.toml", Data: []byte(base)}, {Name: "s.toml", Data: []byte(overlay)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	s := publish.NewSubmitter(httplog.New(logURL, http.DefaultClient), func(string) {})
+	d, err := s.Submit(ctx, publish.Submission{Set: set, Author: "test"})
+	if err != nil || d.Result != publish.Committed {
+		t.Fatalf("publish: %v %v", d.Outcome, err)
+	}
+}
+
+// Guards against callers that end a process: their bodies, heads and unread answers
+// filled its memory, which was bounded a request only. One daemon got 40 callers with
+// bodies of 4 MB, most of them without an end.
+func TestCrowdsOfCallersEndNoProcess(t *testing.T) {
+	binary := crowd.Build(t)
+	for _, kind := range crowd.Kinds {
+		t.Run(string(kind), func(t *testing.T) {
+			p, listen := startCrowdDaemon(t, binary)
+			fields := " HTTP/1.1\r\nHost: " + listen + "\r\nAuthorization: Bearer " + crowdKey + "\r\n"
+			crowd.Check(t, p, crowd.Plan{
+				Kind: kind, Callers: crowd.Callers, Address: listen, Body: crowdBody, Header: crowdHeader,
+				Head: "POST /stock" + fields, Long: "GET /stock/long" + fields,
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/fake/crowd/check.go
@@ -0,0 +1,68 @@
+package crowd
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+const (
+	// Memory is the memory of the machine in the tests, in bytes: less than that of any
+	// in use.
+	Memory = MemoryMB << 20
+	// MemoryMB is the same in megabytes, for settings.
+	MemoryMB = 96
+	// Callers is the size of the crowds in the tests.
+	Callers = 40
+
+	spareDescriptors = 8 // more than before a crowd, for connections to upstreams
+	settleTime       = time.Minute
+	settlePoll       = 50 * time.Millisecond
+	holdTime         = 2 * time.Second // for which a crowd stays open
+)
+
+// Check lets a crowd call p and checks that it lives, stays within the memory of its
+// machine, answers an ordinary request while the crowd's connections are open and
+// another one afterwards, and gives its descriptors back.
+func Check(t *testing.T, p *Process, plan Plan) {
+	t.Helper()
+	eventually(t, "answered before", func() bool { return Ask(plan.Address, plan.Head, 1) == http.StatusOK })
+	if got := Ask(plan.Address, plan.Head, plan.Body); got != http.StatusOK {
+		t.Errorf("status %d for a request of legal size in calm", got)
+	}
+	before, err := p.Descriptors()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := Gather(plan)
+	defer c.Close()
+	time.Sleep(holdTime)
+	eventually(t, "answered beside the crowd", func() bool { return Ask(plan.Address, plan.Head, 1) == http.StatusOK })
+	c.Close()
+	eventually(t, "answered after the crowd", func() bool { return Ask(plan.Address, plan.Head, 1) == http.StatusOK })
+	eventually(t, "descriptors given back", func() bool {
+		n, err := p.Descriptors()
+		return err == nil && n <= before+spareDescriptors
+	})
+	if ended, err := p.Ended(); ended {
+		t.Fatalf("the process ended: %v", err)
+	}
+	peak, err := p.PeakMemory()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("peak %d MB", peak>>20)
+	if peak > Memory {
+		t.Errorf("peak memory %d MB, the machine has %d", peak>>20, MemoryMB)
+	}
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(settleTime); time.Now().Before(end); time.Sleep(settlePoll) {
+		if f() {
+			return
+		}
+	}
+	t.Errorf("not within %v: %s", settleTime, what)
+}
