Bound what all callers of a process hold together

Ruled out: refusing large bodies near the bound (one caller that stops shuts out all others), counting announced lengths. Change: internal/memory, one account of connections, heads, bodies, running requests and what is read ahead of an answer, bounded by limits.memory_mb or the machine's memory. When it is full, callers that stopped sending or reading are ended first; small requests have a reserve. The server reads bodies itself and hands them on without a copy. Connections are bounded by the descriptors, too, and silent ones make room. The own mode sets the runtime's soft limit as the platform did. Event 2020 caller_ended, metrics callers_memory_bytes, callers_memory_limit_bytes, callers_ended_total. Conclusion: a crowd is refused or closed; the process stays within its machine and answers ordinary callers.

--- a/internal/daemon/crowds_test.go
+++ b/internal/daemon/crowds_test.go
@@ -26,7 +26,6 @@
 const crowdHost = "127.0.97.1"
 
 const (
-	crowdBody   = 4 << 20 // bytes
 	crowdHeader = 1 << 20 // bytes
 	longPart    = 1 << 20 // bytes
 	longParts   = 64      // of a long answer; the kernel's buffers hold some of them
@@ -86,7 +85,7 @@
 	base := fmt.Sprintf("schema = 1\n[caller]\nmax_body = \"%dMiB\"\nmax_header = \"%dMiB\"\n"+
 		"[workspaces.w]\nkey_sha256 = [\"%x\"]\nrequests_per_second = 100000\n"+
 		"[routes.stock]\npath = \"/stock\"\nmethods = [\"GET\", \"POST\"]\nservice = \"ledger\"\nrepeatable = true\n",
-		crowdBody>>20, crowdHeader>>20, sha256.Sum256([]byte(crowdKey)))
+		crowd.BodyMB, crowdHeader>>20, sha256.Sum256([]byte(crowdKey)))
 	overlay := fmt.Sprintf("schema = 1\nsite = \"s\"\n[upstreams.u]\nkind = \"service\"\naddress = %q\ndata_centre = \"d\"\nservice = \"ledger\"\n",
 		crowdUpstream(t))
 	set, err := config.Parse([]config.File{{Name: "base.toml", Data: []byte(base)}, {Name: "s.toml", Data: []byte(overlay)}})
@@ -112,7 +111,7 @@
 			p, listen := startCrowdDaemon(t, binary)
 			fields := " HTTP/1.1\r\nHost: " + listen + "\r\nAuthorization: Bearer " + crowdKey + "\r\n"
 			crowd.Check(t, p, crowd.Plan{
-				Kind: kind, Callers: crowd.Callers, Address: listen, Body: crowdBody, Header: crowdHeader,
+				Kind: kind, Callers: crowd.Callers, Address: listen, Body: int64(crowd.BodyMB) << 20, Header: crowdHeader,
 				Head: "POST /stock" + fields, Long: "GET /stock/long" + fields,
 			})
 		})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -25,6 +25,7 @@
 	"currantpulley/internal/filter/lastanswer"
 	"currantpulley/internal/filter/parse"
 	"currantpulley/internal/filter/route"
+	"currantpulley/internal/memory"
 	"currantpulley/internal/metrics"
 	"currantpulley/internal/peer"
 	"currantpulley/internal/pipe"
@@ -52,6 +53,7 @@
 	peers      *peer.Server
 	callers    *server.Server
 	admin      *server.Server
+	memory     *memory.Account
 	cancel     context.CancelFunc
 	ready      readiness
 }
@@ -75,9 +77,11 @@
 		loop:       loop.New(),
 		engine:     upstream.NewHTTPEngine(upstream.NewTransport()),
 		lastAnswer: lastanswer.New(),
+		memory:     memory.New(memory.ForCallers(s.Limits.MemoryMB)),
 		cancel:     cancel,
 	}
 	d.recorder = tee{d.events.recorder, o.recorder}
+	d.metrics.RegisterMemory(d.memory)
 	d.state = newState(d.holder)
 	d.traffic = traffic.New(d.liveVMs, time.Now)
 	d.scheduler = decide.New(d.recorder, time.Now, d.holder.Load)
@@ -149,6 +153,8 @@
 		Limits:  d.callerLimits,
 		Handler: &handler{holder: d.holder, pipe: d.pipe(o, auth), auth: auth},
 		Refused: d.recordConnectionRefused,
+		Memory:  d.memory,
+		Record:  d.recorder.Record,
 	})
 	return err
 }
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,6 +13,7 @@
 	"currantpulley/internal/filter/authenticate"
 	"currantpulley/internal/pipe"
 	"currantpulley/internal/refusal"
+	"currantpulley/internal/server"
 	"currantpulley/internal/snapshot"
 	"currantpulley/internal/upstream"
 )
@@ -59,7 +59,7 @@
 	if !snap.Admitting {
 		return nil, notAdmitting(snap.Reason)
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := server.ReadBody(r)
 	if err != nil {
 		return nil, refusal.New(refusal.BadRequest, "the body could not be read").WithCause(err)
 	}
--- a/internal/daemon/run/run.go
+++ b/internal/daemon/run/run.go
@@ -13,6 +13,7 @@
 
 	"currantpulley/internal/daemon"
 	"currantpulley/internal/eventlog"
+	"currantpulley/internal/memory"
 	"currantpulley/internal/observe"
 	"currantpulley/internal/settings"
 	"currantpulley/internal/timeline"
@@ -88,6 +89,7 @@
 func serve(s settings.Settings) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	memory.LimitRuntime(s.Limits.MemoryMB)
 	logger := eventlog.NewLogger(os.Stderr, s.VM, s.LogLevel)
 	observe.RecordLibraryLog(timeline.NewRecorder(s.VM, timeline.NewClock(nil), logger, 0))
 	d, err := daemon.Start(context.Background(), s, daemon.WithLogger(logger))
--- a/internal/event/request.go
+++ b/internal/event/request.go
@@ -13,6 +13,7 @@
 	ConnectionRefused     ID = 2013
 	AttemptWithdrawn      ID = 2014
 	StreamResumedByCaller ID = 2015
+	CallerEnded           ID = 2020
 )
 
 var requestEvents = []Definition{
@@ -27,4 +28,5 @@
 	{ConnectionRefused, "connection_refused", Warn, "A caller's connection was refused because too many are open."},
 	{AttemptWithdrawn, "attempt_withdrawn", Warn, "A request that waited in an engine was cancelled there, because the engine's weights were replaced too long ago."},
 	{StreamResumedByCaller, "stream_resumed_by_caller", Info, "A caller's later attempt resumes a stream; detail has the attempt that began it, the caller's last event and the software versions."},
+	{CallerEnded, "caller_ended", Warn, "A caller was refused or its connection closed because memory is short. The detail has the reason: stalled (it sent or read nothing for a while), over_share (it held the most while a small request waited) or full (no memory became free in time)."},
 }
--- a/internal/fake/crowd/check.go
+++ b/internal/fake/crowd/check.go
@@ -2,19 +2,28 @@
 
 import (
 	"net/http"
+	"os"
+	"strconv"
 	"testing"
 	"time"
 )
 
-const (
-	// Memory is the memory of the machine in the tests, in bytes: less than that of any
-	// in use.
-	Memory = MemoryMB << 20
-	// MemoryMB is the same in megabytes, for settings.
-	MemoryMB = 96
-	// Callers is the size of the crowds in the tests.
-	Callers = 40
+// Sizes of the crowds. A run by hand may set larger ones in the environment.
+var (
+	MemoryMB = sizeOf("CROWD_MEMORY_MB", 96) // of the machine
+	Callers  = sizeOf("CROWD_CALLERS", 40)
+	BodyMB   = sizeOf("CROWD_BODY_MB", 4) // the largest legal body
+)
+
+// sizeOf returns the whole number in an environment variable, or the default.
+func sizeOf(variable string, otherwise int) int {
+	if n, err := strconv.Atoi(os.Getenv(variable)); err == nil {
+		return n
+	}
+	return otherwise
+}
 
+const (
 	spareDescriptors = 8 // more than before a crowd, for connections to upstreams
 	settleTime       = time.Minute
 	settlePoll       = 50 * time.Millisecond
@@ -52,7 +61,7 @@
 		t.Fatal(err)
 	}
 	t.Logf("peak %d MB", peak>>20)
-	if peak > Memory {
+	if peak > int64(MemoryMB)<<20 {
 		t.Errorf("peak memory %d MB, the machine has %d", peak>>20, MemoryMB)
 	}
 }
--- a/internal/fake/crowd/process.go
+++ b/internal/fake/crowd/process.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"golang.org/x/sys/unix"
 )
 
 // Process is a running process of the system.
@@ -17,9 +19,18 @@
 }
 
 // Build builds the daemon without the race detector, which needs memory of its own, and
-// returns the path of the program.
+// returns the path of the program. It waits until no other test plays a crowd, and keeps
+// others waiting until the test ends.
 func Build(t *testing.T) string {
 	t.Helper()
+	lock, err := os.OpenFile(filepath.Join(os.TempDir(), "currantpulley-crowd.lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lock.Close() })
+	if err := unix.Flock(int(lock.Fd()), unix.LOCK_EX); err != nil {
+		t.Fatal(err)
+	}
 	file := filepath.Join(t.TempDir(), "currantpulleyd")
 	c := exec.CommandContext(t.Context(), "go", "build", "-o", file, "currantpulley/cmd/currantpulleyd")
 	if out, err := c.CombinedOutput(); err != nil {
--- a/internal/filter/dispatch/call.go
+++ b/internal/filter/dispatch/call.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
 	"currantpulley/internal/event"
 	"currantpulley/internal/failure"
 	"currantpulley/internal/hop"
+	"currantpulley/internal/memory"
 	"currantpulley/internal/pipe"
 	"currantpulley/internal/refusal"
 	"currantpulley/internal/upstream"
@@ -108,7 +108,7 @@
 // are read before the first goes out, so that a truncated answer is refused.
 func (f *Filter) relayCall(x *pipe.Exchange, response *upstream.Response, a *pipe.Attempt) error {
 	peer := a.Choice.Upstream.Name
-	head, err := io.ReadAll(io.LimitReader(response.Body, bufferedAnswerMax))
+	head, whole, err := memory.ReadAhead(response.Body, bufferedAnswerMax, roomOf(x.Writer))
 	if err != nil {
 		return brokenAnswer(x, failure.At("read answer", peer, err))
 	}
@@ -121,7 +121,7 @@
 	if refusal.PromisesNotRun(response.Status) {
 		h.Set(upstream.HeaderEffect, string(refusal.Unknown))
 	}
-	if len(head) < bufferedAnswerMax {
+	if whole {
 		h.Set("Content-Length", strconv.Itoa(len(head)))
 	}
 	writeStatus(x, response.Status)
--- a/internal/filter/dispatch/relay.go
+++ b/internal/filter/dispatch/relay.go
@@ -14,6 +14,7 @@
 
 	"currantpulley/internal/event"
 	"currantpulley/internal/failure"
+	"currantpulley/internal/memory"
 	"currantpulley/internal/pipe"
 	"currantpulley/internal/refusal"
 	"currantpulley/internal/upstream"
@@ -24,6 +25,7 @@
 	resumeDelay       = 100 * time.Millisecond // multiplied by the number of the attempt
 	bufferedAnswerMax = 1 << 20                // bytes of an answer buffered before the first is relayed
 	copyBufferSize    = 32 << 10
+	leastCopyBuffer   = 512
 )
 
 // attemptID returns the request id that an upstream sees for an attempt. It is
@@ -210,15 +212,15 @@
 // relayBody relays an answer that is not a stream. Up to bufferedAnswerMax bytes
 // are read before the first goes out, so that a truncated answer is refused.
 func (f *Filter) relayBody(x *pipe.Exchange, o *openedAttempt) error {
-	head, err := io.ReadAll(io.LimitReader(o.response.Body, bufferedAnswerMax))
+	head, whole, err := memory.ReadAhead(o.response.Body, bufferedAnswerMax, roomOf(x.Writer))
 	if err != nil {
 		return brokenAnswer(x, failure.At("read answer", o.attempt.Choice.Upstream.Name, err))
 	}
-	if err := checkCompletion(o.response.Status, head); err != nil {
+	if err := checkCompletion(o.response.Status, head, whole); err != nil {
 		return brokenAnswer(x, failure.At("read answer", o.attempt.Choice.Upstream.Name, err))
 	}
 	setAnswerHeader(x, o.response.Header.Get("Content-Type"))
-	if len(head) < bufferedAnswerMax {
+	if whole {
 		recordUsage(o.attempt, head)
 		x.Writer.Header().Set("Content-Length", strconv.Itoa(len(head)))
 	}
@@ -226,11 +228,26 @@
 	return copyBody(x, head, o.response.Body, o.attempt.Choice.Upstream.Name)
 }
 
+// roomOf returns the function that tells whether memory may be held for an answer to w.
+func roomOf(w http.ResponseWriter) func(int64) bool {
+	for w != nil {
+		if limited, ok := w.(interface{ Room(n int64) bool }); ok {
+			return limited.Room
+		}
+		wrapped, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			break
+		}
+		w = wrapped.Unwrap()
+	}
+	return func(int64) bool { return true }
+}
+
 // checkCompletion returns an error if body is not all of a completion. The end of a
 // response with neither a length nor chunks is the end of its connection, which may
 // come early. Bodies that are not read in full are not checked.
-func checkCompletion(status int, body []byte) error {
-	if status != http.StatusOK || len(body) == bufferedAnswerMax || json.Valid(body) {
+func checkCompletion(status int, body []byte, whole bool) error {
+	if status != http.StatusOK || !whole || json.Valid(body) {
 		return nil
 	}
 	return fmt.Errorf("%w: the completion is not JSON", upstream.ErrMalformed)
@@ -243,7 +260,10 @@
 	if _, err := x.Writer.Write(head); err != nil {
 		return failure.At("relay", "caller", err)
 	}
-	buf := make([]byte, copyBufferSize)
+	buf := head[:min(cap(head), copyBufferSize)] // it was written
+	if len(buf) == 0 {
+		buf = make([]byte, leastCopyBuffer)
+	}
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
--- a/internal/filter/parse/parse.go
+++ b/internal/filter/parse/parse.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"currantpulley/internal/config"
@@ -25,7 +26,12 @@
 
 // Filter sets Exchange.Model, Prompt, Deadline and Priority. Calls to plain
 // services get a deadline only.
-type Filter struct{}
+type Filter struct {
+	large sync.Mutex // held while a large body is parsed, which takes several times its size
+}
+
+// largeBody is the size in bytes from which bodies are parsed one at a time.
+const largeBody = 1 << 20
 
 // New returns the filter.
 func New() *Filter { return &Filter{} }
@@ -42,7 +48,7 @@
 	if err := setPriority(x); err != nil {
 		return err
 	}
-	r, err := prompt.ParseRequest(x.Path, x.Body)
+	r, err := f.parse(x)
 	if err != nil {
 		return refusal.New(refusal.BadRequest, "%v", err)
 	}
@@ -59,6 +65,15 @@
 // Response implements pipe.Filter.
 func (f *Filter) Response(*pipe.Exchange) {}
 
+// parse parses the body of a model request.
+func (f *Filter) parse(x *pipe.Exchange) (*prompt.Request, error) {
+	if len(x.Body) >= largeBody {
+		f.large.Lock()
+		defer f.large.Unlock()
+	}
+	return prompt.ParseRequest(x.Path, x.Body)
+}
+
 func lookUpModel(x *pipe.Exchange, r *prompt.Request) (*config.Model, error) {
 	m, ok := x.Snap.Config.Models[r.Model]
 	if !ok {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -203,7 +202,7 @@
 	q.ctx, cancel = context.WithDeadline(q.callerCtx, q.deadline)
 	defer cancel()
 	defer context.AfterFunc(g.ending, cancel)()
-	body, err := io.ReadAll(q.r.Body)
+	body, err := server.ReadBody(q.r)
 	if err != nil {
 		return refusal.New(refusal.BadRequest, "the body could not be read").WithCause(err)
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,6 +12,7 @@
 	"currantpulley/internal/event"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/hop"
+	"currantpulley/internal/memory"
 	"currantpulley/internal/metrics"
 	"currantpulley/internal/upstream"
 )
@@ -32,8 +33,7 @@
 // *failedAttempt if nothing was relayed yet.
 func (g *Gateway) relayBuffered(q *request, a *attempt) error {
 	defer func() { _ = a.response.Body.Close() }()
-	head, err := io.ReadAll(io.LimitReader(a.response.Body, maxBufferedBytes))
-	complete := len(head) < maxBufferedBytes
+	head, complete, err := memory.ReadAhead(a.response.Body, maxBufferedBytes, q.w.Room)
 	if err == nil && complete {
 		err = g.checkEnd(q, a)
 	}
@@ -56,12 +56,15 @@
 		g.succeed(q, a)
 		return nil
 	}
-	return g.relayRemainder(q, a)
+	return g.relayRemainder(q, a, head[:min(cap(head), copyBuffer)])
 }
 
-// relayRemainder relays what follows the first maxBufferedBytes of a response.
-func (g *Gateway) relayRemainder(q *request, a *attempt) error {
-	_, err := io.Copy(q.w, a.response.Body)
+// copyBuffer is the size in bytes of the buffer with which a long response is relayed.
+const copyBuffer = 32 << 10
+
+// relayRemainder relays what follows the first bytes of a response, through a buffer.
+func (g *Gateway) relayRemainder(q *request, a *attempt, buffer []byte) error {
+	_, err := io.CopyBuffer(q.w, a.response.Body, buffer)
 	if err == nil {
 		err = g.checkEnd(q, a)
 	}
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -6,12 +6,13 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httputil"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"currantpulley/internal/hangup"
+	"currantpulley/internal/memory"
 	"currantpulley/internal/refusal"
 )
 
@@ -36,9 +38,8 @@
 )
 
 const (
-	readBuffer  = 2 << 10  // bytes read ahead of each connection
-	chunkBuffer = 4 << 10  // bytes of a chunked body passed to nbhttp at once
-	maxTrailer  = 16 << 10 // bytes of the trailer of a chunked body
+	readBuffer = 2 << 10  // bytes read ahead of each connection
+	maxTrailer = 16 << 10 // bytes of the trailer of a chunked body
 )
 
 // finalReadWait is the time for a read of what the kernel has already got.
@@ -47,9 +48,9 @@
 // conn wraps a caller's connection for nbhttp. nbhttp reads from it in the
 // goroutine that also runs the handler.
 //
-// conn decides where each request ends and passes nbhttp one request at a time, of
-// which it has checked each byte. Chunked bodies are passed on in chunks of its own,
-// without extensions and trailers.
+// conn decides where each request ends and passes nbhttp one head at a time, of which
+// it has checked each byte. It reads the body itself, which nbhttp would copy several
+// times.
 type conn struct {
 	net.Conn // tcp, or the TLS connection over it
 	server   *Server
@@ -57,15 +58,17 @@
 	tcp      *net.TCPConn
 
 	in        *bufio.Reader  // of Conn
-	out       []byte         // checked, not yet returned to nbhttp
-	length    int64          // bytes of the body still to be returned; -1: it is chunked
+	out       []byte         // of a checked head, not yet returned to nbhttp
+	length    int64          // of the body
 	chunks    io.Reader      // decodes a chunked body; nil: there is none
-	decoded   int64          // bytes of a chunked body
-	chunk     []byte         // buffer for chunks
 	started   bool           // part of a request was read and its handler was not called yet
-	readError error          // of the read ahead
+	readError error          // of the read ahead, or of a body
 	refused   *refusal.Error // with which all requests are refused; nil: they are served
 
+	held      *memory.Holding
+	headBytes int64                         // of held, for the head
+	exhausted atomic.Pointer[memory.Reason] // why the caller is ended for its memory; nil: it isn't
+
 	early    atomic.Bool // a byte of the next request has come while the handler runs
 	ended    atomic.Bool // no further request is read
 	unframed atomic.Bool // the response ends with the connection
@@ -83,24 +86,17 @@
 		c.Conn = tls.Server(tcp, s.opts.TLS)
 	}
 	c.in = bufio.NewReaderSize(c.Conn, readBuffer)
+	c.held = s.opts.Memory.Open(time.Now(), c.exhaust)
 	return c
 }
 
-// Read implements net.Conn. It returns bytes of one request only, until its handler
-// was called.
+// Read implements net.Conn. It returns bytes of one head only, until its handler was
+// called.
 func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.read(p)
-	if err != nil {
-		c.onReadError(err)
-		return 0, err
-	}
-	return n, nil
-}
-
-func (c *conn) read(p []byte) (int, error) {
 	if len(c.out) == 0 {
-		if n, err := c.fill(p); n > 0 || err != nil {
-			return n, err
+		if err := c.nextHead(); err != nil {
+			c.onReadError(err)
+			return 0, err
 		}
 	}
 	n := copy(p, c.out)
@@ -108,36 +104,38 @@
 	return n, nil
 }
 
-// fill reads the next part of a request into p, or into out and returns 0.
-func (c *conn) fill(p []byte) (int, error) {
-	switch {
-	case c.length > 0:
-		n, err := c.in.Read(p[:min(int64(len(p)), c.length)])
-		c.length -= int64(n)
-		return n, err
-	case c.chunks != nil:
-		return 0, c.readChunk()
-	case c.started:
-		// nbhttp's parser has the whole request and did not call the handler.
-		return 0, c.reject(malformed("its syntax"))
+// nextHead reads the next head into out.
+func (c *conn) nextHead() error {
+	if c.started {
+		// nbhttp's parser has the whole head and did not call the handler.
+		return c.reject(malformed("its syntax"))
 	}
-	return 0, c.readHead()
+	return c.readHead()
 }
 
-// whole reports whether nbhttp has got all bytes of the request.
-func (c *conn) whole() bool { return len(c.out) == 0 && c.length <= 0 && c.chunks == nil }
-
 // onReadError restores the original connection in nbhttp's entry, because nbhttp
 // finds the entry to delete by the type of its connection. A request that was
 // not sent in time is refused first.
 func (c *conn) onReadError(err error) {
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.started {
-		_ = c.reject(refusal.New(refusal.RequestTimeout, "the request was not sent in time"))
+	if c.started {
+		_ = c.refuseLate(err)
 	}
 	_ = c.Conn.Close() // nbhttp doesn't
 	c.nbConn.Conn = c.tcp
 }
 
+// refuseLate refuses a request that was not sent in time, as err tells. It returns err,
+// or that of the refusal.
+func (c *conn) refuseLate(err error) error {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	if c.exhausted.Load() != nil {
+		return c.reject(errNoMemory())
+	}
+	return c.reject(refusal.New(refusal.RequestTimeout, "the request was not sent in time"))
+}
+
 // readHead waits for a request, reads its head and prepares for its body.
 func (c *conn) readHead() error {
 	if c.ended.Load() {
@@ -158,6 +156,10 @@
 	if limits.ReadTimeout > 0 {
 		_ = c.tcp.SetReadDeadline(time.Now().Add(limits.ReadTimeout))
 	}
+	c.held.Progress(time.Now())
+	if c.exhausted.Load() != nil { // the deadline that ends the read may be lost
+		return c.reject(errNoMemory())
+	}
 	raw, err := c.collectHead(limits.MaxHeader)
 	if err != nil {
 		return err
@@ -173,9 +175,9 @@
 		c.extendWriteDeadline(limits.WriteTimeout)
 		_, _ = c.Conn.Write(continueResponse) // an error recurs when the body is read
 	}
-	c.out, c.length = h.bytes, h.length
+	c.out, c.length, c.chunks = h.bytes, h.length, nil
 	if h.length < 0 {
-		c.chunks, c.decoded = httputil.NewChunkedReader(c.in), 0
+		c.chunks = httputil.NewChunkedReader(c.in)
 	}
 	return nil
 }
@@ -219,9 +221,13 @@
 // collectHead reads a head of at most limit bytes, line by line.
 func (c *conn) collectHead(limit int64) ([]byte, error) {
 	var raw []byte
+	c.headBytes = 0
 	for !bytes.HasSuffix(raw, endOfHead) {
 		part, err := c.in.ReadSlice('\n')
 		raw = append(raw, part...)
+		if bad := c.holdHead(int64(cap(raw))); bad != nil {
+			return nil, bad
+		}
 		if int64(len(raw)) > limit {
 			return nil, c.reject(refusal.New(refusal.HeaderTooLarge, "the header is larger than %d bytes", limit))
 		}
@@ -235,54 +241,6 @@
 	return raw, nil
 }
 
-// readChunk reads a part of a chunked body into out, as a chunk for nbhttp.
-func (c *conn) readChunk() error {
-	if c.chunk == nil {
-		c.chunk = make([]byte, chunkBuffer)
-	}
-	n, err := c.chunks.Read(c.chunk)
-	c.decoded += int64(n)
-	if limit := c.server.opts.Limits().MaxBody; c.decoded > limit {
-		return c.reject(refusal.New(refusal.TooLarge, "the body is larger than %d bytes", limit))
-	}
-	c.out = c.out[:0:0]
-	if n > 0 {
-		c.out = fmt.Appendf(nil, "%x\r\n%s\r\n", n, c.chunk[:n])
-	}
-	if errors.Is(err, io.EOF) {
-		err = c.endChunks()
-	}
-	var failed net.Error
-	if err != nil && !errors.As(err, &failed) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, errRejected) {
-		err = c.reject(malformed("a chunk of its body"))
-	}
-	return err
-}
-
-// endChunks reads the trailer of a chunked body, drops it and ends the body.
-func (c *conn) endChunks() error {
-	for size := 0; ; {
-		line, err := c.in.ReadSlice('\n')
-		if err != nil {
-			return err
-		}
-		size += len(line)
-		field, ok := bytes.CutSuffix(line, lineEnd)
-		if !ok || size > maxTrailer {
-			return c.reject(malformed("its trailer"))
-		}
-		if len(field) == 0 {
-			break
-		}
-		if !bytes.Contains(field, []byte(":")) {
-			return c.reject(malformed("its trailer"))
-		}
-	}
-	c.chunks = nil
-	c.out = append(c.out, "0\r\n\r\n"...)
-	return nil
-}
-
 // extendWriteDeadline sets the write deadline to timeout from now, if it isn't 0.
 func (c *conn) extendWriteDeadline(timeout time.Duration) {
 	if timeout > 0 {
@@ -295,6 +253,7 @@
 func (c *conn) startReadAhead(leave func()) {
 	c.started = false
 	_ = c.tcp.SetReadDeadline(time.Time{})
+	c.held.Enter(memory.Running, time.Now())
 	c.early.Store(c.in.Buffered() > 0)
 	c.readAheadDone = make(chan struct{})
 	go c.readAhead(leave, c.readAheadDone)
@@ -360,6 +319,12 @@
 		ContentLength: int64(len(body)),
 		Body:          bodyReader(body),
 	}
+	if r.RetryAfter > 0 {
+		res.Header.Set("Retry-After", strconv.Itoa(int(math.Ceil(r.RetryAfter.Seconds()))))
+	}
+	c.started = false
+	c.held.Shrink(connectionBytes)
+	c.recordExhausted()
 	c.extendWriteDeadline(lingerTimeout)
 	_ = res.Write(c.Conn)
 	c.closeWrite()
--- /dev/null
+++ b/internal/server/exhaust.go
@@ -0,0 +1,82 @@
+package server
+
+import (
+	"time"
+
+	"currantpulley/internal/event"
+	"currantpulley/internal/memory"
+	"currantpulley/internal/refusal"
+)
+
+// Bytes that are counted besides those of bodies, for buffers and goroutines.
+const (
+	connectionBytes = 16 << 10 // an open connection
+	runningBytes    = 40 << 10 // a request in progress
+	headCost        = 4        // bytes held for each byte of a large head, which is copied
+	plainHead       = 4 << 10  // bytes of a head that a connection's own buffers hold
+)
+
+const (
+	memoryWait = time.Second // for others to give memory back
+	memoryPoll = 10 * time.Millisecond
+)
+
+// memoryRetryAfter is the retry delay given when memory is short.
+const memoryRetryAfter = time.Second
+
+// errNoMemory returns the refusal of a request that did not run for want of memory.
+func errNoMemory() *refusal.Error {
+	return refusal.New(refusal.Overloaded, "this router's memory is taken by other requests").WithRetryAfter(memoryRetryAfter)
+}
+
+// hold waits for n bytes of memory for the request that is being read. If there is none,
+// the request is refused.
+func (c *conn) hold(n int64) error {
+	now := time.Now()
+	for end := now.Add(memoryWait); !c.held.Grow(n, now); now = time.Now() {
+		if c.exhausted.Load() != nil {
+			return c.reject(errNoMemory())
+		}
+		if now.After(end) {
+			c.held.Refused()
+			full := memory.Full
+			c.exhausted.Store(&full)
+			return c.reject(errNoMemory())
+		}
+		time.Sleep(memoryPoll)
+	}
+	return nil
+}
+
+// holdHead holds memory for a head in a buffer of n bytes.
+func (c *conn) holdHead(n int64) error {
+	c.progress()
+	if n <= plainHead || headCost*n <= c.headBytes {
+		return nil
+	}
+	more := headCost*n - c.headBytes
+	c.headBytes += more
+	return c.hold(more)
+}
+
+// progress records that the caller has sent something.
+func (c *conn) progress() { c.held.Progress(time.Now()) }
+
+// exhaust ends the caller, whose memory is needed elsewhere. One that doesn't read its
+// answer is cut; one that doesn't send gets a refusal from the goroutine that reads.
+func (c *conn) exhaust(r memory.Reason, s memory.State) {
+	c.exhausted.Store(&r)
+	if s == memory.Reading {
+		c.abort()
+		c.recordExhausted()
+		return
+	}
+	_ = c.tcp.SetReadDeadline(time.Unix(1, 0))
+}
+
+// recordExhausted records why the caller was ended for its memory, if it was.
+func (c *conn) recordExhausted() {
+	if r := c.exhausted.Load(); r != nil && c.server.opts.Record != nil {
+		c.server.opts.Record(event.Event{ID: event.CallerEnded, Peer: c.tcp.RemoteAddr().String(), Step: "memory", Detail: string(*r)})
+	}
+}
--- a/internal/server/head.go
+++ b/internal/server/head.go
@@ -24,7 +24,7 @@
 
 // head is the head of a request that all parsers read in the same way.
 type head struct {
-	bytes     []byte // for nbhttp's parser
+	bytes     []byte // for nbhttp's parser, which gets no body
 	length    int64  // of the body; -1: chunked
 	continues bool   // the caller waits for a 100 response before it sends the body
 }
@@ -60,7 +60,7 @@
 		return nil, malformed("its length is ambiguous")
 	}
 	return &head{
-		bytes:     f.withoutTrailer,
+		bytes:     f.withoutBody,
 		length:    r.ContentLength,
 		continues: !isHTTP10 && r.ContentLength != 0 && strings.EqualFold(r.Header.Get("Expect"), "100-continue"),
 	}, nil
@@ -69,13 +69,13 @@
 // fields counts the header fields that decide about a request's framing and host.
 type fields struct {
 	hosts, lengths, codings int
-	withoutTrailer          []byte // the head without its Trailer fields
+	withoutBody             []byte // the head without the fields that announce a body or a trailer
 }
 
 // parseFields checks the lines of a head. A field must begin with a name right
 // before a colon and end with its line.
 func parseFields(raw []byte) (*fields, *refusal.Error) {
-	f := &fields{withoutTrailer: raw}
+	f := &fields{withoutBody: raw}
 	lines := bytes.TrimSuffix(raw, []byte("\r\n\r\n"))
 	requestLine, lines, _ := bytes.Cut(lines, lineEnd)
 	if bytes.ContainsAny(requestLine, "\r\n\t") {
@@ -100,11 +100,18 @@
 		f.hosts++
 	case "Content-Length":
 		f.lengths++
+		f.drop(line)
 	case "Transfer-Encoding":
 		f.codings++
+		f.drop(line)
 	case "Trailer":
-		// Trailers are dropped, but nbhttp's parser would wait for them.
-		whole := slices.Concat(lineEnd, line, lineEnd)
-		f.withoutTrailer = bytes.Replace(f.withoutTrailer, whole, lineEnd, 1)
+		f.drop(line)
 	}
 }
+
+// drop removes a line from the head that nbhttp's parser gets: it would wait for the body,
+// which conn reads, or for a trailer.
+func (f *fields) drop(line []byte) {
+	whole := slices.Concat(lineEnd, line, lineEnd)
+	f.withoutBody = bytes.Replace(f.withoutBody, whole, lineEnd, 1)
+}
--- /dev/null
+++ b/internal/server/memory_test.go
@@ -0,0 +1,149 @@
+package server_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"currantpulley/internal/event"
+	"currantpulley/internal/memory"
+	"currantpulley/internal/server"
+)
+
+const accountBytes = 1 << 20
+
+// startAccounted starts a server whose callers share accountBytes.
+func startAccounted(t *testing.T, handler http.HandlerFunc, record func(event.Event)) (*server.Server, *memory.Account) {
+	t.Helper()
+	a := memory.New(accountBytes)
+	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: slowLimits, Handler: handler, Memory: a, Record: record})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s, a
+}
+
+// post writes the head of a request with a body of n bytes, and the part of it.
+func post(c net.Conn, n, part int) {
+	_, _ = fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", n, strings.Repeat("x", part))
+}
+
+// statusOf reads the response on c, 0 if there is none.
+func statusOf(c net.Conn) (status int, h http.Header) {
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, nil
+	}
+	_ = res.Body.Close()
+	return res.StatusCode, res.Header
+}
+
+// Guards against bodies that stopped a byte short of their end and keep others out: they
+// are refused as not run, one that goes on is served, and all memory is given back.
+func TestStoppedBodiesMakeRoom(t *testing.T) {
+	var runs, ended atomic.Int64
+	s, a := startAccounted(t, func(_ http.ResponseWriter, r *http.Request) {
+		if body, err := server.ReadBody(r); err == nil && len(body) == accountBytes/2 {
+			runs.Add(1)
+		}
+	}, func(e event.Event) {
+		if e.ID == event.CallerEnded && e.Detail == string(memory.Stalled) {
+			ended.Add(1)
+		}
+	})
+	stopped := dial(t, s.Address())
+	post(stopped, accountBytes/2, accountBytes/2-1)
+	for begin := time.Now(); a.Used() < accountBytes/2 && time.Since(begin) < 5*time.Second; {
+		time.Sleep(time.Millisecond)
+	}
+	next := dial(t, s.Address())
+	post(next, accountBytes/2, accountBytes/2)
+	if got, _ := statusOf(next); got != http.StatusOK || runs.Load() != 1 {
+		t.Errorf("status %d, %d runs", got, runs.Load())
+	}
+	got, h := statusOf(stopped)
+	if got != http.StatusServiceUnavailable || h.Get("X-Effect") != "not-run" || h.Get("Retry-After") == "" || ended.Load() != 1 {
+		t.Errorf("the stopped one got %d %v, %d events", got, h, ended.Load())
+	}
+	_ = next.Close()
+	_ = stopped.Close()
+	for begin := time.Now(); a.Used() > 0 && time.Since(begin) < 5*time.Second; {
+		time.Sleep(time.Millisecond)
+	}
+	if a.Used() != 0 {
+		t.Errorf("%d bytes are held without callers", a.Used())
+	}
+}
+
+// Guards against announcements that keep others out.
+func TestAnnouncedBodiesTakeNoMemory(t *testing.T) {
+	s, a := startAccounted(t, func(http.ResponseWriter, *http.Request) {}, nil)
+	for range 20 {
+		post(dial(t, s.Address()), accountBytes, 1)
+	}
+	c := dial(t, s.Address())
+	post(c, 1, 1)
+	if got, _ := statusOf(c); got != http.StatusOK || a.Used() > accountBytes {
+		t.Errorf("status %d, %d bytes held", got, a.Used())
+	}
+}
+
+// Guards against connections that send nothing and keep new callers out.
+func TestSilentConnectionsMakeRoom(t *testing.T) {
+	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		Limits: func() server.Limits {
+			l := slowLimits()
+			l.MaxConnections = 10
+			return l
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	for range 10 {
+		dial(t, s.Address())
+	}
+	time.Sleep(time.Second) // longer than a caller may be silent when connections are short
+	c := dial(t, s.Address())
+	post(c, 1, 1)
+	if got, _ := statusOf(c); got != http.StatusOK {
+		t.Errorf("status %d", got)
+	}
+}
+
+// BenchmarkRequest measures a small request and its answer over a kept connection.
+func BenchmarkRequest(b *testing.B) {
+	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: slowLimits,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = server.ReadBody(r)
+			w.Header().Set("Content-Length", "1")
+			_, _ = w.Write([]byte("x"))
+		})})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	c, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	b.ReportAllocs()
+	for b.Loop() {
+		post(c, 2000, 2000)
+		res, err := http.ReadResponse(in, nil)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -24,7 +24,9 @@
 	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 
+	"currantpulley/internal/event"
 	"currantpulley/internal/hangup"
+	"currantpulley/internal/memory"
 	"currantpulley/internal/presence"
 	"currantpulley/internal/refusal"
 )
@@ -46,6 +48,10 @@
 // idleTimeout closes a connection on which no request arrives.
 const idleTimeout = 2 * time.Minute
 
+// endingShare is the share of the limit of connections by which it may be exceeded while
+// others are being ended.
+const endingShare = 0.05
+
 // lastRequestWait is how long CloseIdle waits for requests that are on their way.
 const lastRequestWait = 250 * time.Millisecond
 
@@ -56,12 +62,15 @@
 	Limits  func() Limits
 	Handler http.Handler                          // gets a *Writer as ResponseWriter
 	Refused func(remote string, r *refusal.Error) // called for each request refused before the handler; may be nil
+	Memory  *memory.Account                       // of what callers hold; nil: unlimited
+	Record  func(event.Event)                     // of callers that were ended for memory; may be nil
 }
 
 // Server accepts and serves callers' connections.
 type Server struct {
 	opts           Options
 	engine         *nbhttp.Engine
+	descriptors    int // most connections, by the process's limit of descriptors
 	listener       net.Listener
 	openConns      atomic.Int64
 	activeRequests atomic.Int64
@@ -82,7 +91,10 @@
 // and its Stop blocks for ever when called before a poller has run. Accepted
 // connections are handed to the engine one by one instead.
 func Start(opts Options) (*Server, error) {
-	s := &Server{opts: opts, conns: make(map[*nbhttp.Conn]*conn)}
+	if opts.Memory == nil {
+		opts.Memory = memory.New(0)
+	}
+	s := &Server{opts: opts, descriptors: connectionsByDescriptors(), conns: make(map[*nbhttp.Conn]*conn)}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		IOMod:             nbhttp.IOModBlocking,
 		KeepaliveTime:     idleTimeout,
@@ -174,11 +186,20 @@
 		_ = c.tcp.Close()
 	}
 	s.mu.Unlock()
-	if s.openConns.Add(1) > int64(s.opts.Limits().MaxConnections) {
+	limit := min(s.opts.Limits().MaxConnections, s.descriptors)
+	if open := s.openConns.Add(1); open > int64(limit) && !s.makeRoom(int(open)-limit, limit) {
 		c.refused = refusal.New(refusal.TooManyConnections, "too many connections are open")
+	} else if !c.held.Grow(connectionBytes, time.Now()) {
+		c.refused = errNoMemory()
 	}
 }
 
+// makeRoom ends a connection on which nothing is sent, so that a new one above the limit
+// is served. It reports false if there is none, or if too many are being ended.
+func (s *Server) makeRoom(excess, limit int) bool {
+	return excess <= max(1, int(endingShare*float64(limit))) && s.opts.Memory.EndStopped(time.Now())
+}
+
 // onClose removes a connection from the server and closes it. In the blocking mode
 // nbhttp leaves the connection open after its last read.
 func (s *Server) onClose(nc net.Conn, _ error) {
@@ -190,6 +211,9 @@
 	_ = outer.Conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c := s.conns[outer]; c != nil {
+		c.held.Close()
+	}
 	delete(s.conns, outer)
 }
 
@@ -208,12 +232,17 @@
 	if !ok {
 		return
 	}
-	if !c.whole() {
-		c.abort() // nbhttp's parser ended the request before conn did
+	if len(c.out) > 0 {
+		c.abort() // nbhttp's parser ended the head before conn did
 		return
 	}
 	trimValues(r)
 	_, _, _ = res.Hijack() // Writer writes the response
+	body, err := c.readBody()
+	if err != nil {
+		c.readError = err
+		return
+	}
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
 	caller, ctx, cancel := presence.New(context.Background(), func() bool { return hangup.HasCome(c.tcp) })
@@ -226,9 +255,13 @@
 	defer func() {
 		c.stopReadAhead()
 		out.finish()
+		c.held.Shrink(connectionBytes)
+		c.held.Enter(memory.Sending, time.Now())
 	}()
 	defer out.abortOnPanic()
-	s.opts.Handler.ServeHTTP(out, r.WithContext(ctx))
+	r = r.WithContext(ctx)
+	r.Body, r.ContentLength = newBody(body), int64(len(body))
+	s.opts.Handler.ServeHTTP(out, r)
 }
 
 // trimValues removes the optional white space around header values, of which nbhttp
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/net/http/httpguts"
+
+	"currantpulley/internal/memory"
 )
 
 // maxChunk is the maximum number of bytes written at once. The write timeout
@@ -177,9 +179,11 @@
 		return w.err
 	}
 	w.conn.extendWriteDeadline(w.timeout)
+	w.conn.held.Enter(memory.Reading, time.Now())
 	if _, err := w.conn.Write(w.out); err != nil {
 		w.err = fmt.Errorf("write to caller: %w", err)
 	}
+	w.conn.held.Enter(memory.Running, time.Now())
 	w.out = w.out[:0]
 	return w.err
 }
@@ -204,6 +208,9 @@
 	}
 }
 
+// Room reports whether n more bytes of the answer may be held before they are written.
+func (w *Writer) Room(n int64) bool { return w.conn.held.Grow(n, time.Now()) }
+
 // Abort closes the connection. A caller that has received part of a response sees
 // that it is incomplete.
 func (w *Writer) Abort() {
