Spare texts without a credential's name the search for credentials

Cause: each event's detail and error were searched for credentials with a regular expression if they had "=" or ":", which each line of a request has: the address of its upstream.

Change: the expression is only used for texts with "bearer", or with one of the names before a credential and a "=" or ":", or with bytes that aren't ASCII.

--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rs/zerolog"
 
@@ -130,10 +131,26 @@
 // error text quotes one.
 var credentialPattern = regexp.MustCompile(`(?i)(bearer\s+|(?:api[_-]?key|token|password|secret)["']?\s*[=:]\s*["']?)[^\s"',&]+`)
 
-// mayHoldCredential is a cheap check that spares most texts the regular
-// expression.
+// credentialNames are the names before credentials in credentialPattern, in part: "key"
+// stands for those that end so.
+var credentialNames = []string{"key", "token", "password", "secret"}
+
+// mayHoldCredential is a cheap check that spares most texts the regular expression,
+// which takes longer than all else that is done for an event. It is true for all texts
+// that the expression matches, and for those that aren't ASCII: the expression's letters
+// match some others too.
 func mayHoldCredential(text string) bool {
-	return strings.ContainsAny(text, "=:") || strings.Contains(strings.ToLower(text), "bearer")
+	for i := range len(text) {
+		if text[i] >= utf8.RuneSelf {
+			return true
+		}
+	}
+	lower := strings.ToLower(text)
+	if strings.Contains(lower, "bearer") {
+		return true
+	}
+	isNamed := func(name string) bool { return strings.Contains(lower, name) }
+	return strings.ContainsAny(lower, "=:") && slices.ContainsFunc(credentialNames, isNamed)
 }
 
 // sanitise masks credentials in text and truncates it to maxText bytes.
