Mint sooner after a start of all daemons, and only once half of the others are heard

The number of daemons had settled 0.8 s after the start; 2 s more were waited. Ruled out: a shorter wait alone, since daemons may stand still at the few that the store lists.

Change: a new daemon mints when the number has settled for 0.75 s and half of the others have told it what they see. So a daemon that starts alone in a partition mints nothing.

--- a/internal/control/quotas/quotas.go
+++ b/internal/control/quotas/quotas.go
@@ -395,13 +395,13 @@
 }
 
 // Receive applies what another daemon's state says: tokens for this daemon, whose ages
-// were right elapsed ago, and the most daemons that it has seen. The age of a state that
-// was not asked for is not known; elapsed is 0 then.
+// were right elapsed ago, and the most daemons that it has seen, 0 if its build doesn't
+// tell. The age of a state that was not asked for is not known; elapsed is 0 then.
 func (q *Quotas) Receive(vm string, deposits []quota.Deposit, daemons int, elapsed time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := freshness.Time()
-	if daemons != 0 && !q.share.Learn(daemons, now) {
+	if !q.share.Learn(vm, daemons, now) {
 		q.recordClaim(vm, 0, fmt.Errorf("%d daemons can't be", daemons), now)
 	}
 	q.book.SetPart(q.share.Part(now), now)
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -13,7 +13,10 @@
 	shareSteps = 30
 	// settleTime is the time for which the number of daemons must not have grown much
 	// before a new daemon mints.
-	settleTime = 2 * time.Second
+	settleTime = 750 * time.Millisecond
+	// settledHeard is the share of the other daemons from which a new one must have heard
+	// before it mints: fewer may be one side of a partition, or know no more than it does.
+	settledHeard = 1.0 / 2
 	// settledGrowth is the growth of the number of daemons that counts as settled.
 	settledGrowth = 1.0 / 8
 	// maxDaemons is the largest number of daemons that is believed.
@@ -24,11 +27,12 @@
 // up to 1 at most, also while they see different numbers of each other. It is not safe
 // for concurrent use.
 type Share struct {
-	seen    peak      // daemons that this one saw
-	told    peak      // daemons that others saw
-	contact time.Time // latest contact; zero: none yet
-	before  int       // daemons when the number last grew much
-	since   time.Time // when it grew
+	seen    peak            // daemons that this one saw
+	told    peak            // daemons that others saw
+	contact time.Time       // latest contact; zero: none yet
+	before  int             // daemons when the number last grew much
+	since   time.Time       // when it grew
+	heard   map[string]bool // daemons that told what they have seen, until settled
 	settled bool
 }
 
@@ -40,20 +44,29 @@
 		return
 	}
 	if s.contact.IsZero() || now.Sub(s.contact) > shareMemory/2 {
-		s.settled, s.before = false, 0 // the others may not count this daemon
+		s.settled, s.before, s.heard = false, 0, make(map[string]bool) // the others may not count this daemon
 	}
 	s.contact = now
-	if n := s.daemons(now); float64(n) > float64(s.before)*(1+settledGrowth) {
+	if s.settled {
+		return
+	}
+	n := s.daemons(now)
+	if float64(n) > float64(s.before)*(1+settledGrowth) {
 		s.before, s.since = n, now
 	}
-	s.settled = s.settled || now.Sub(s.since) >= settleTime
+	if now.Sub(s.since) >= settleTime && float64(len(s.heard)) >= settledHeard*float64(n-1) {
+		s.settled, s.heard = true, nil
+	}
 }
 
 // Learn records how many daemons another one has seen, and reports whether that can be.
-func (s *Share) Learn(daemons int, now time.Time) bool {
+func (s *Share) Learn(vm string, daemons int, now time.Time) bool {
 	if daemons < 0 || daemons > maxDaemons {
 		return false
 	}
+	if s.heard != nil {
+		s.heard[vm] = true
+	}
 	s.told.record(daemons, now)
 	return true
 }
