Drop refused bodies before their connection lingers, and use buffers again

A refused body stayed in memory while its connection lingered for up to 0.5 s, although the account had given it back; and outgrown buffers were garbage faster than collected. Change: refusals are written by readBody, which holds no body then; buffers that no handler got are used again by size; callers may hold 0.4 of the VM's memory (0.45), the runtime's soft limit is 0.7 of it (0.75).

--- a/internal/config/reference.go
+++ b/internal/config/reference.go
@@ -20,7 +20,7 @@
 - The bearer keys of workspaces are never written to a file: only their SHA-256 hashes are, as
   ` + "`printf %s KEY | sha256sum`" + ` prints them.
 - Settings of a single daemon are in a file of its own (` + "`examples/settings.toml`" + `). Its ` + "`limits.memory_mb`" + ` is the memory of
-  the VM; all callers together may hold 0.45 of it, bodies 0.7 of that. Without it, the memory that the system states counts.
+  the VM; all callers together may hold 0.4 of it, bodies 0.7 of that. Without it, the memory that the system states counts.
 
 ` + "`currantpulley check FILE...`" + ` reports every problem as FILE:LINE: KEY: MESSAGE. A value outside its
 range or of the wrong type and an unknown key are problems, and so are these: a reference to an item
--- a/internal/memory/machine.go
+++ b/internal/memory/machine.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	runtimeShare = 0.75 // of the machine's memory, as the runtime's soft limit
-	callerShare  = 0.45 // of the machine's memory, for callers
-	gcPercent    = 40   // growth of the heap between two collections, in percent
+	runtimeShare = 0.7 // of the machine's memory, as the runtime's soft limit
+	callerShare  = 0.4 // of the machine's memory, for callers
+	gcPercent    = 40  // growth of the heap between two collections, in percent
 	fallback     = 1 << 30
 
 	megabyte = 1 << 20
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -34,7 +34,7 @@
 }
 
 // readBody reads the body of the request whose head was read. If it fails, the request
-// was refused or its caller has left.
+// was refused, without its body in memory, or its caller has left.
 func (c *conn) readBody() ([]byte, error) {
 	var body []byte
 	var err error
@@ -48,9 +48,9 @@
 		err = c.hold(runningBytes)
 	}
 	if err != nil {
-		return nil, c.refuseLate(err)
+		return nil, c.refuse(err)
 	}
-	return body, nil
+	return body[:len(body):len(body)], nil // the rest may hold another caller's bytes
 }
 
 // readLength reads a body of n bytes.
@@ -58,10 +58,8 @@
 	var body []byte
 	for int64(len(body)) < n {
 		var err error
-		if body, err = c.roomFor(body, n); err != nil {
-			return nil, err
-		}
-		if body, err = c.readMore(c.in, body); err != nil {
+		if body, err = c.readMore(c.in, body, n); err != nil {
+			dropBuffer(body)
 			return nil, err
 		}
 	}
@@ -73,46 +71,56 @@
 	var body []byte
 	for {
 		var err error
-		if body, err = c.roomFor(body, limit+1); err != nil {
-			return nil, err
-		}
-		body, err = c.readMore(c.chunks, body)
-		if int64(len(body)) > limit {
-			return nil, c.reject(refusal.New(refusal.TooLarge, "the body is larger than %d bytes", limit))
+		if int64(len(body)) < limit {
+			body, err = c.readMore(c.chunks, body, limit)
+		} else {
+			err = c.readNoMore(limit)
 		}
 		if errors.Is(err, io.EOF) {
 			return body, c.endChunks()
 		}
-		var failed net.Error
-		if err != nil && !errors.As(err, &failed) && !errors.Is(err, io.ErrUnexpectedEOF) {
-			err = c.reject(malformed("a chunk of its body"))
-		}
 		if err != nil {
-			return nil, err
+			dropBuffer(body)
+			return nil, chunkError(err)
 		}
 	}
 }
 
-// readMore reads what comes next from r into the room after body.
-func (c *conn) readMore(r io.Reader, body []byte) ([]byte, error) {
-	n, err := r.Read(body[len(body):cap(body)])
-	body = body[:len(body)+n]
-	c.progress()
-	return body, err
+// readNoMore expects the end of a chunked body that has reached the limit.
+func (c *conn) readNoMore(limit int64) error {
+	var one [1]byte
+	n, err := c.chunks.Read(one[:])
+	if n > 0 {
+		return refusal.New(refusal.TooLarge, "the body is larger than %d bytes", limit)
+	}
+	return err
 }
 
-// roomFor returns body with room for more, in a buffer of at most limit bytes.
-func (c *conn) roomFor(body []byte, limit int64) ([]byte, error) {
-	if len(body) < cap(body) {
-		return body, nil
+// chunkError returns err, or a refusal if it is that of a malformed chunk.
+func chunkError(err error) error {
+	var failed net.Error
+	var refused *refusal.Error
+	if errors.As(err, &failed) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &refused) {
+		return err
 	}
-	size := min(max(firstBuffer, 2*int64(cap(body))), limit)
-	if err := c.hold(size - int64(cap(body))); err != nil {
-		return nil, err
+	return malformed("a chunk of its body")
+}
+
+// readMore reads what comes next from r into the room after body, which is made larger if
+// there is none, up to limit bytes.
+func (c *conn) readMore(r io.Reader, body []byte, limit int64) ([]byte, error) {
+	if len(body) == cap(body) {
+		size := min(max(firstBuffer, 2*int64(cap(body))), limit)
+		if err := c.hold(size - int64(cap(body))); err != nil {
+			return body, err
+		}
+		larger := append(newBuffer(size), body...)
+		dropBuffer(body)
+		body = larger
 	}
-	larger := make([]byte, len(body), size)
-	copy(larger, body)
-	return larger, nil
+	n, err := r.Read(body[len(body):cap(body)])
+	c.progress()
+	return body[:len(body)+n], err
 }
 
 // endChunks reads the trailer of a chunked body and drops it.
@@ -125,13 +133,13 @@
 		size += len(line)
 		field, ok := bytes.CutSuffix(line, lineEnd)
 		if !ok || size > maxTrailer {
-			return c.reject(malformed("its trailer"))
+			return malformed("its trailer")
 		}
 		if len(field) == 0 {
 			return nil
 		}
 		if !bytes.Contains(field, []byte(":")) {
-			return c.reject(malformed("its trailer"))
+			return malformed("its trailer")
 		}
 	}
 }
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -118,19 +118,22 @@
 // not sent in time is refused first.
 func (c *conn) onReadError(err error) {
 	if c.started {
-		_ = c.refuseLate(err)
+		_ = c.refuse(err)
 	}
 	_ = c.Conn.Close() // nbhttp doesn't
 	c.nbConn.Conn = c.tcp
 }
 
-// refuseLate refuses a request that was not sent in time, as err tells. It returns err,
-// or that of the refusal.
-func (c *conn) refuseLate(err error) error {
-	if !errors.Is(err, os.ErrDeadlineExceeded) {
+// refuse refuses a request that can't be read: err is a refusal, or tells that it was not
+// sent in time. It returns err, or that of the refusal.
+func (c *conn) refuse(err error) error {
+	var r *refusal.Error
+	switch {
+	case errors.As(err, &r):
+		return c.reject(r)
+	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return err
-	}
-	if c.exhausted.Load() != nil {
+	case c.exhausted.Load() != nil:
 		return c.reject(errNoMemory())
 	}
 	return c.reject(refusal.New(refusal.RequestTimeout, "the request was not sent in time"))
--- a/internal/server/exhaust.go
+++ b/internal/server/exhaust.go
@@ -29,19 +29,19 @@
 	return refusal.New(refusal.Overloaded, "this router's memory is taken by other requests").WithRetryAfter(memoryRetryAfter)
 }
 
-// hold waits for n bytes of memory for the request that is being read. If there is none,
-// the request is refused.
+// hold waits for n bytes of memory for the request that is being read. It returns a
+// refusal if there is none.
 func (c *conn) hold(n int64) error {
 	now := time.Now()
 	for end := now.Add(memoryWait); !c.held.Grow(n, now); now = time.Now() {
 		if c.exhausted.Load() != nil {
-			return c.reject(errNoMemory())
+			return errNoMemory()
 		}
 		if now.After(end) {
 			c.held.Refused()
 			full := memory.Full
 			c.exhausted.Store(&full)
-			return c.reject(errNoMemory())
+			return errNoMemory()
 		}
 		time.Sleep(memoryPoll)
 	}
