Mint once three in four of the others are heard

Cause: after all daemons were killed, each waits until it has heard enough of the others; nine in ten take most of an exchange period, half the time of it. Ruled out: half, which lets daemons mint that start in the larger part of a partition.

--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -16,7 +16,7 @@
 	settleTime = 750 * time.Millisecond
 	// settledHeard is the share of the other daemons from which a new one must have heard
 	// before it mints: fewer may be one side of a partition, or know no more than it does.
-	settledHeard = 0.9
+	settledHeard = 0.75
 	// settledGrowth is the growth of the number of daemons that counts as settled.
 	settledGrowth = 1.0 / 8
 	// maxDaemons is the largest number of daemons that is believed.
