Believe no end of an unframed answer whose request broke while it was sent

Cause: when an upstream resets a connection while the request is being written, the kernel tells the writer of the reset once; the reader finds an ordinary end. Change: upstream.RoundTripAs notes whether the whole request was written. At the end of an unframed answer it waits for that, and the end is an error if it failed. Gateway, own mode and carried requests share it.

--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithCancelCause(req.Context())
 	s := &singleSend{cancel: cancel, id: id, hasLeft: func() bool { return presence.HasLeft(ctx) }}
 	stop := presence.OnLeave(ctx, s.close)
-	trace := &httptrace.ClientTrace{GetConn: s.getConn, GotConn: s.gotConn}
+	trace := &httptrace.ClientTrace{GetConn: s.getConn, GotConn: s.gotConn, WroteRequest: s.wroteRequest}
 	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
 	res, err := t.RoundTrip(req) //nolint:bodyclose // closed by the caller
 	for err != nil && ctx.Err() == nil && s.passedOver() && rewind(req) {
@@ -83,6 +83,9 @@
 		cancel(err)
 		return nil, s.failed(err)
 	}
+	if endsWithConnection(res) {
+		res.Body = &unframedBody{ReadCloser: res.Body, written: func() error { return s.written(ctx) }}
+	}
 	res.Body = &cancellingBody{ReadCloser: res.Body, cancel: cancel, stop: stop}
 	reply := &Reply{Response: res, Reused: s.reused, conn: s.conn, id: id}
 	if err := checkStatus(res.StatusCode); err != nil {
@@ -140,6 +143,28 @@
 	return err
 }
 
+// endsWithConnection reports whether only the end of the connection marks that of res.
+func endsWithConnection(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && res.Body != http.NoBody
+}
+
+// unframedBody is a body that ends with its connection. If the connection broke while the
+// request was still being written, its end says nothing: the kernel told the writer of
+// the reset, and the reader finds an ordinary end.
+type unframedBody struct {
+	io.ReadCloser
+	written func() error
+}
+
+// Read implements io.Reader.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && b.written() != nil {
+		return n, fmt.Errorf("%w: the connection ended before the request was written", io.ErrUnexpectedEOF)
+	}
+	return n, err
+}
+
 // singleSend lets a transport send one request on one connection only. Transports
 // call gotConn once for each connection, one call after the other.
 type singleSend struct {
@@ -148,11 +173,12 @@
 	hasLeft func() bool             // reports whether its caller has left
 
 	mu     sync.Mutex
-	conn   net.Conn // the latest; nil: none yet
-	before int64    // bytes that were written to conn before the request
-	reused bool     // conn had served another request before
-	broken bool     // the transport looked for another connection after a byte was written
-	passed bool     // the request must not be sent on conn, which refused it before
+	conn   net.Conn   // the latest; nil: none yet
+	wrote  chan error // gets the outcome of writing the request to conn
+	before int64      // bytes that were written to conn before the request
+	reused bool       // conn had served another request before
+	broken bool       // the transport looked for another connection after a byte was written
+	passed bool       // the request must not be sent on conn, which refused it before
 }
 
 // getConn makes the transport give up when it looks for another connection after a
@@ -181,7 +207,7 @@
 		s.cancel(ErrClosedAfterSend)
 		return
 	}
-	s.conn, s.reused = info.Conn, info.Reused
+	s.conn, s.reused, s.wrote = info.Conn, info.Reused, make(chan error, 1)
 	s.passed = ok && s.id != "" && tracked.hasRefused(s.id)
 	if s.passed {
 		tracked.seal() // the write fails, after which the transport closes the connection
@@ -191,6 +217,37 @@
 	}
 }
 
+// wroteRequest notes whether the whole request was written.
+func (s *singleSend) wroteRequest(info httptrace.WroteRequestInfo) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.wrote == nil {
+		return
+	}
+	select {
+	case s.wrote <- info.Err:
+	default:
+	}
+}
+
+// written waits until the transport has ended to write the request, which it does at the
+// end of the response at the latest, and returns the error of that.
+func (s *singleSend) written(ctx context.Context) error {
+	s.mu.Lock()
+	wrote := s.wrote
+	s.mu.Unlock()
+	if wrote == nil {
+		return nil
+	}
+	select {
+	case err := <-wrote:
+		wrote <- err
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // mayBegin returns an error if no byte of the request should be written to conn: its
 // caller has left, or the upstream has closed the connection since its last response.
 func (s *singleSend) mayBegin(conn net.Conn) error {
