Check a request's key after its quota was charged, and count the wait there for no upstream's

Cause: the charge may wait 300 ms for other daemons, between the check of the key and the send, and within the time that is learnt as the upstream's. Change: the key is checked last, and balance.Restart sets the time of the send. Evidence: TestKeyIsCheckedAfterTheCharge got 200 and one run before, passes now.

--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -7,6 +7,14 @@
 	"currantpulley/internal/holdoff"
 )
 
+// Restart sets when p's request is sent, if something else was awaited since the pick:
+// that time isn't the upstream's.
+func (b *Balancer) Restart(p *Pick, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p.pickedAt = now
+}
+
 // Began records that the answer to p's request began: its prompt is computed, and
 // the engine and the store at p.Save hold its leading parts.
 func (b *Balancer) Began(p *Pick, now time.Time) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -153,17 +153,19 @@
 		return nil, lateRefusal(pick, work.Left)
 	}
 	g.observeWait(q, pick, now)
-	a := &attempt{pick: pick, sentAt: now}
 	q.expected = pick.Wait
 	q.tried = append(q.tried, pick.Upstream.Key())
-	if err := g.recheckKey(q); err != nil {
-		g.opts.Balancer.Done(pick, balance.Cancelled, now)
-		return nil, err
-	}
 	if err := g.charge(q); err != nil {
 		g.opts.Balancer.Done(pick, balance.Cancelled, freshness.Time())
 		return nil, err
 	}
+	now = freshness.Time() // charge may have waited for another daemon
+	g.opts.Balancer.Restart(pick, now)
+	if err := g.recheckKey(q); err != nil {
+		g.opts.Balancer.Done(pick, balance.Cancelled, now)
+		return nil, err
+	}
+	a := &attempt{pick: pick, sentAt: now}
 	if !g.opts.Retries.Confirm(&q.permit) {
 		g.opts.Balancer.Done(pick, balance.Cancelled, now)
 		return nil, errRepeatHeldUp
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -9,6 +9,7 @@
 
 	"currantpulley/internal/admin"
 	"currantpulley/internal/catalog"
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/quota"
 )
 
@@ -86,6 +87,28 @@
 	}
 }
 
+// staleQuotas grants requests once the proof of the configuration is too old.
+type staleQuotas struct{ fakeQuotas }
+
+func (*staleQuotas) Charge(context.Context, *catalog.Workspace, float64) (quota.Charge, time.Duration, bool) {
+	time.Sleep(300 * time.Millisecond)
+	return quota.Charge{At: time.Now()}, 0, true
+}
+
+// Guards against requests that are sent with a key that may have been revoked while their
+// charge waited for another daemon.
+func TestKeyIsCheckedAfterTheCharge(t *testing.T) {
+	r := newReplica(t, func(http.ResponseWriter, *http.Request) {})
+	f := startProvedAt(t, freshness.Now().Add(200*time.Millisecond-time.Minute), r)
+	f.quotas = &staleQuotas{}
+	f.watcher.Load().Config.Workspaces["k"].Quota = quota.Quota{Rate: 1, Burst: 1}
+	f.serve(t, f.logs)
+	res, body, err := f.post(t, "/idempotent/")
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || r.runs.Load() != 0 {
+		t.Errorf("%v %q %v, %d runs, want a refusal", res, body, err, r.runs.Load())
+	}
+}
+
 // startWithQuotas is start with quotas that bound the workspace.
 func startWithQuotas(t *testing.T, quotas *fakeQuotas, replicas ...*replica) *fixture {
 	t.Helper()
