Remember no refusal of a quota for a caller that left

Cause: a caller that left while the holder was asked left a refusal behind; others of its workspace got 429 for up to half a second, and event 3020 counted it. Evidence: TestCallerThatLeavesIsNoRefusal failed before (refused for 499 ms), passes now.

--- a/internal/control/quotas/quotas.go
+++ b/internal/control/quotas/quotas.go
@@ -158,7 +158,7 @@
 // nothing and returns the time until it does.
 func (q *Quotas) Charge(ctx context.Context, w *catalog.Workspace, amount float64) (c quota.Charge, wait time.Duration, ok bool) {
 	c, wait, ok = q.take(ctx, quota.IDOf(w.Name), amount)
-	if !ok {
+	if !ok && ctx.Err() == nil {
 		q.recordRefusal(w, amount, wait)
 	}
 	return c, wait, ok
@@ -182,7 +182,9 @@
 	defer q.mu.Unlock()
 	later := freshness.Time()
 	q.book.Restore(id, own, now, later)
-	q.refused[id] = refusal{amount, later.Add(min(wait, refusalTime)), later.Add(wait)}
+	if ctx.Err() == nil { // the caller that left says nothing of the quota
+		q.refused[id] = refusal{amount, later.Add(min(wait, refusalTime)), later.Add(wait)}
+	}
 	return quota.Charge{}, wait, false
 }
 
--- a/internal/control/quotas/quotas_test.go
+++ b/internal/control/quotas/quotas_test.go
@@ -187,3 +187,18 @@
 		t.Errorf("%d daemons are told to others", n)
 	}
 }
+
+// Guards against refusals that nobody gave: a caller that leaves while the holder is asked
+// says nothing of the quota, and others of its workspace must not be refused for it.
+func TestCallerThatLeavesIsNoRefusal(t *testing.T) {
+	w := &catalog.Workspace{Name: "w", Quota: quota.Quota{Rate: 1, Burst: 1}}
+	d := startDaemons(t, 2, w)[0]
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	if _, _, ok := d.Charge(ctx, w, 1000); ok {
+		t.Fatal("charged")
+	}
+	if wait := d.Refusal(w, 1000); wait > 0 {
+		t.Errorf("a request like it is refused for %v", wait)
+	}
+}
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -58,6 +58,9 @@
 	}
 	if q.charge.At.IsZero() {
 		c, wait, ok := g.opts.Quotas.Charge(q.ctx, q.workspace, cost)
+		if !ok && q.callerCtx.Err() != nil {
+			return errCallerGone
+		}
 		if !ok {
 			return g.overQuota(q, wait)
 		}
