--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -226,7 +226,7 @@
 	if b.RetryRatio < 0 || b.RetryExtra < 0 {
 		report("bounds.retry_ratio", "retry_ratio and retry_extra must not be negative")
 	}
-	if b.QuotaWindow < 0 || b.QuotaOverage < 0 || b.QuotaSlack < 0 {
-		report("bounds.quota_window", "quota_window, quota_overage and quota_slack must not be negative")
+	if !(b.QuotaWindow >= 0 && b.QuotaOverage >= 0 && b.QuotaSlack >= 0) { // false for NaN, too
+		report("bounds.quota_window", "quota_window, quota_overage and quota_slack must be numbers of 0 or more")
 	}
 }
