--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -40,6 +40,7 @@
 }
 
 type node struct {
+	name       string
 	up, frozen bool
 	joined     int // tick
 	skew       time.Duration
@@ -62,7 +63,7 @@
 
 // start starts daemon i, which remembers nothing. Each has a clock of its own.
 func (f *fleet) start(i int) {
-	d := &node{up: true, joined: f.tick, skew: time.Duration(f.Int64N(int64(time.Minute))), book: NewBook(Tolerance{})}
+	d := &node{name: fmt.Sprint("vm-", i), up: true, joined: f.tick, skew: time.Duration(f.Int64N(int64(time.Minute))), book: NewBook(Tolerance{})}
 	d.book.SetQuotas(map[ID]Quota{simID: simQuota}, f.now.Add(d.skew))
 	f.nodes[i] = d
 }
@@ -91,7 +92,7 @@
 func (f *fleet) tell(i int) {
 	for j, d := range f.nodes {
 		if (j+f.tick/5)%(simExchange/5) == 0 && j != i && f.reach(i, j) {
-			f.nodes[i].share.Learn(fmt.Sprint(j), d.share.Seen(f.time(d)), f.time(f.nodes[i]))
+			f.nodes[i].share.Learn(d.name, d.share.Seen(f.time(d)), f.time(f.nodes[i]))
 		}
 	}
 }
@@ -226,6 +227,7 @@
 // Load that it answers: a workspace asks for four times its quota while daemons are
 // killed, frozen, partitioned, started and added.
 func TestBoundHoldsInTrouble(t *testing.T) {
+	t.Parallel()
 	properties := gopter.NewProperties(nil)
 	properties.Property("no window takes more than the stated bound", prop.ForAll(
 		func(seed uint64, n int) bool {
@@ -242,6 +244,7 @@
 
 // Planted faults must be found.
 func TestPlantedFaultsBreakTheBound(t *testing.T) {
+	t.Parallel()
 	for name, plant := range map[string]func(*fleet){
 		"grants are copied":        func(f *fleet) { f.fault = true },
 		"parts by momentary views": func(f *fleet) { f.momenta = true },
@@ -263,6 +266,7 @@
 // Load that it answers: what a workspace asks below its quota comes to one, a few or all
 // of many daemons.
 func TestCalmFleetServesWhatIsBelowTheQuota(t *testing.T) {
+	t.Parallel()
 	for _, askers := range []int{1, 5, 141} {
 		f := newFleet(7, 141)
 		for range 200 {
@@ -282,6 +286,7 @@
 // requests uses 0.56 of it on average, at any of 141 daemons. An ideal bucket without
 // tolerance refuses 0.026 of these requests.
 func TestToleranceServesLongRequests(t *testing.T) {
+	t.Parallel()
 	const (
 		rate      = 29_000.0
 		longShare = 0.65
