Spread what daemons send between two reports of the others

Cause: with many daemons each hears of the others' work only every 0.7 to 1.4 s. All of them know of the same upstream with the least work and send there what comes meanwhile.

Ruled out: shorter periods (the exchange is over its bound of bytes already); taking the best of two random upstreams (gives up what engines hold of a prompt).

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -8,6 +8,7 @@
 package balance
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -82,6 +83,8 @@
 	part         float64                // of the work of all daemons that is this one's, as last known
 	stores       map[uint32]storeState  // by catalog.CacheStore.ShortID
 	brittle      map[string]brittleness // by service
+	reports      reports                // of other daemons
+	random       func() float64         // from 0 to 1
 	crossings    *crossings
 }
 
@@ -108,6 +111,7 @@
 		brittle: make(map[string]brittleness), timings: make(map[string]*timing), memories: make(map[string]*memory),
 		upstreams: make(map[catalog.Key]*upstreamState), lanes: make(map[string]lane), stores: make(map[uint32]storeState),
 		crossings: newCrossings(), held: holders.New(heldMax), pending: holders.New(pendingMax), isKept: func(catalog.Build) bool { return true },
+		reports: reports{last: make(map[string]time.Time)}, random: rand.Float64,
 	}
 }
 
--- a/internal/balance/peers.go
+++ b/internal/balance/peers.go
@@ -146,6 +146,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.peerReportAt = now
+	b.reports.add(vm, now)
 	for k, s := range b.upstreams {
 		if _, ok := uses[k]; !ok {
 			s.peers.remove(vm)
