Learn the pace of each upstream from the answers to all daemons

Cause: expected times come from what all answers of a service show, pooled. Upstreams of speed 0.6 to 1.6, each slow for a while, got as much work as if all were alike.

Change: package placement/pace pools ratios of observed to expected time that the daemons exchange (fields 25 of State, 12 B an upstream that answered lately). Expected times, Late and Retry-After take the pace, the score half of its logarithm. Events 3030 to 3032, metric upstream_pace_ratio, docs/design/pace.md.

Tests: simulated fleets, five seeds, 24 daemons, 15 engines of speeds 0.6, 1 and 1.6 with spells. Busiest to mean by time in use: 1.23 to 1.29, bound 1.3; without paces 1.32 to 1.38 (a form of the test on: 1.33 to 1.39). A tenth of the callers wait 352 to 417 ms, without 392 to 476. Equal engines: 1.22 to 1.29, without 1.24 to 1.31, waits not longer over the seeds. A spell of 2.5 times is taken for 1.28 to 1.68 after 3 s, 1.05 to 1.27 3 s after its end. Reuse test: its hand-made Pick now states the usual pace.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -16,6 +16,7 @@
 	"currantpulley/internal/crossing"
 	"currantpulley/internal/holdoff"
 	"currantpulley/internal/placement/holders"
+	"currantpulley/internal/placement/pace"
 	"currantpulley/internal/ratelimit"
 	"currantpulley/internal/rendezvous"
 )
@@ -86,6 +87,8 @@
 	reports      reports                // of other daemons
 	random       func() float64         // from 0 to 1
 	crossings    *crossings
+	paces        *pace.Table // of upstreams, as the answers to all daemons show
+	onPace       func(PaceChange)
 }
 
 // upstreamState is what this daemon knows of one upstream.
@@ -95,6 +98,9 @@
 	otherRequests float64           // of other daemons, from the last answer that carried a load
 	reportedAt    time.Time         // of that answer
 	slowdown      float64           // see Load.Slowdown
+	pace          float64           // see package pace; 0: not known yet
+	evened        float64           // factor of the wait in the score; 0: 1; see Pick.evenedWait
+	paceFell      bool              // see PaceChange
 	weights       map[string]uint64 // newest version that responses reported, by model
 	backoffUntil  time.Time         // after a failure or a refusal
 	closedUntil   time.Time         // while it loads weights or is about to
@@ -110,7 +116,7 @@
 		limits: ratelimit.New(ratelimit.Options{}), risks: ratelimit.New(ratelimit.Options{}), part: 1,
 		brittle: make(map[string]brittleness), timings: make(map[string]*timing), memories: make(map[string]*memory),
 		upstreams: make(map[catalog.Key]*upstreamState), lanes: make(map[string]lane), stores: make(map[uint32]storeState),
-		crossings: newCrossings(), held: holders.New(heldMax), pending: holders.New(pendingMax), isKept: func(catalog.Build) bool { return true },
+		crossings: newCrossings(), paces: pace.New(), onPace: func(PaceChange) {}, held: holders.New(heldMax), pending: holders.New(pendingMax), isKept: func(catalog.Build) bool { return true },
 		reports: reports{last: make(map[string]time.Time)}, random: rand.Float64,
 	}
 }
@@ -155,6 +161,7 @@
 	c := &Pick{} // the candidate; the one that is worse is used again
 	var opensIn time.Duration
 	all := snap.UpstreamsOf(w.Service)
+	b.updatePaces(t, all, now)
 	aff := b.affinity(snap, all, w, now)
 	for _, u := range all {
 		bar, _, risky := b.filter(snap, w, u, b.stateOf(u.Key(), now), now)
--- a/internal/balance/learn.go
+++ b/internal/balance/learn.go
@@ -15,7 +15,7 @@
 		return
 	}
 	if !p.queued {
-		t.first.Observe(p.first, longTokens, took-p.transfer)
+		t.first.Observe(p.first, longTokens, scale(took-p.transfer, 1/p.pace))
 	}
 	t.observeWait(p, took)
 }
@@ -35,7 +35,7 @@
 	case p.Ahead > 0:
 		t.observeLongWait(p, took)
 	default:
-		t.first.Observe(p.first, longTokens, took-p.transfer)
+		t.first.Observe(p.first, longTokens, scale(took-p.transfer, 1/p.pace))
 	}
 }
 
@@ -119,4 +119,7 @@
 	if p.output > 0 && !p.endOverdue {
 		seen.token.Observe(p.perToken(now))
 	}
+	if p.output > 0 {
+		seen.usualToken.Observe(p.perToken(now))
+	}
 }
--- a/internal/balance/observe.go
+++ b/internal/balance/observe.go
@@ -26,6 +26,7 @@
 	}
 	p.beganAt = now
 	b.recordNewTokens(p, p.prefillTokens+p.Fetched, now)
+	b.observePace(p, now)
 	b.timingOf(p.Upstream.Service).observeFirst(p, now.Sub(p.pickedAt))
 	p.finishPrefill()
 }
@@ -77,6 +78,7 @@
 	case Served:
 		s.failures = 0
 		b.recordNewTokens(p, p.output, now)
+		b.observeEndPace(t, p, now)
 		t.observeWhole(p, now)
 	case Busy:
 		s.backOff(now, busyBackoff)
--- a/internal/balance/reuse_test.go
+++ b/internal/balance/reuse_test.go
@@ -167,7 +167,7 @@
 	b, _ := newTest(2)
 	tm := b.timingOf(testService)
 	for _, perToken := range []time.Duration{20 * time.Microsecond, 200 * time.Microsecond} {
-		p := &Pick{prompt: &Prompt{Tokens: 10_000}, first: cost.Work{Tokens: 10_000}, medianWait: time.Second}
+		p := &Pick{prompt: &Prompt{Tokens: 10_000}, first: cost.Work{Tokens: 10_000}, medianWait: time.Second, pace: 1}
 		for range 200 {
 			tm.observeFirst(p, 10_000*perToken)
 		}
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -12,7 +12,7 @@
 // old.
 func (b *Balancer) scoreUpstream(p *Pick, snap *catalog.Snapshot, w *Work, u *catalog.Upstream, t *timing, aff affinity, now time.Time) (time.Duration, bool) {
 	s := b.stateOf(u.Key(), now)
-	*p = Pick{Upstream: u, state: s, prompt: w.Prompt, output: w.output(), urgency: w.urgency(), slow: max(1, s.slowdown)}
+	*p = Pick{Upstream: u, state: s, prompt: w.Prompt, output: w.output(), urgency: w.urgency(), slow: s.slow(), pace: s.paceOr1()}
 	score := b.unseenWork(now)
 	if closed := s.unavailableFor(now); closed > 0 {
 		p.unavailable = true
@@ -25,7 +25,7 @@
 	work := b.workAt(s, p.urgency, now)
 	if w.Prompt == nil {
 		t.expectCall(p, work)
-		return score + p.Wait, true
+		return score + p.evenedWait(), true
 	}
 	p.Version = s.version(u, w.Prompt.Model)
 	r := b.reuse(snap, w, u, p.Version, aff, now)
@@ -38,7 +38,7 @@
 	if !ok {
 		return 0, false
 	}
-	return score + stale + p.Wait + t.copyCost(r.fetched), true
+	return score + stale + p.evenedWait() + t.copyCost(r.fetched), true
 }
 
 // cost returns the part of u's score that keeps long and short work on separate
--- a/internal/balance/timing.go
+++ b/internal/balance/timing.go
@@ -39,6 +39,7 @@
 	spread     [Urgencies]quantile.Tracker
 	open       []*Pick   // requests without a whole answer, oldest first
 	reviewedAt time.Time // see reviewOpen
+	pacedAt    time.Time // see Balancer.updatePaces
 }
 
 // answers is what the answers to one kind of prompt have shown.
@@ -47,10 +48,12 @@
 	// token is the seconds from one expected output token to the next that few answers
 	// exceed: they may be longer than expected, or made by an engine that has much to do.
 	token quantile.Tracker
+	// usualToken is the typical one of these times.
+	usualToken quantile.Tracker
 }
 
 func newAnswers() answers {
-	return answers{run: quantile.New(typical, runTimeStart.Seconds()), token: quantile.New(mostOf, 0)}
+	return answers{run: quantile.New(typical, runTimeStart.Seconds()), token: quantile.New(mostOf, 0), usualToken: quantile.New(typical, 0)}
 }
 
 func newTiming() *timing {
@@ -132,14 +135,16 @@
 	run := t.runOf(long)
 	queueing := queueingTime(w.requestsBefore, p.Upstream.Slots, duration(p.slow*run.Value()))
 	p.queued = queueing > 0
-	p.first = cost.Work{Tokens: p.slow * (w.tokensBefore + float64(p.prefillTokens)), Running: p.slow * w.requests}
+	stated := p.slow / p.pace
+	p.first = cost.Work{Tokens: stated * (w.tokensBefore + float64(p.prefillTokens)), Running: stated * w.requests}
 	p.Ahead = queueing + t.first.Prefill(p.slow*w.tokensBefore)
-	p.Wait = t.first.Predict(p.first.Tokens) + t.first.Crowd(p.first.Running) + queueing + p.transfer
+	first := t.first.Predict(p.first.Tokens) + t.first.Crowd(p.first.Running)
+	p.Wait = scale(first, p.pace) + queueing + p.transfer
 	p.medianWait = p.Wait
-	first := scale(p.medianWait, t.spreadOf(p.urgency))
+	most := scale(p.medianWait, t.spreadOf(p.urgency))
 	p.Expected = Expected{
-		First:  first,
-		Whole:  first + t.decodeTime(p),
+		First:  most,
+		Whole:  most + t.decodeTime(p),
 		Learnt: t.first.Seen(p.first, longTokens) && (!p.queued || run.Seen()),
 	}
 }
--- a/internal/balance/work.go
+++ b/internal/balance/work.go
@@ -145,6 +145,8 @@
 	endOverdue    bool            // the same of its whole answer; see timing.observeLongAnswer
 	urgency       int             // see Work.Urgency
 	slow          float64         // time that work takes at the upstream, relative to the usual
+	pace          float64         // the part of slow that the upstream doesn't state itself
+	overPace      bool            // takes much longer than usual to begin; see Balancer.observeOverdue
 	transfer      time.Duration   // of the tokens from Fetch
 	first         cost.Work       // that the engine does before the first token, at the usual speed
 	pickedAt      time.Time
--- a/internal/control/exchange/exchange.go
+++ b/internal/control/exchange/exchange.go
@@ -25,6 +25,7 @@
 	"currantpulley/internal/fleet"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/peer"
+	"currantpulley/internal/placement/pace"
 	"currantpulley/internal/quarantine"
 	"currantpulley/internal/ratelimit"
 )
@@ -104,6 +105,12 @@
 	OnWorkspaceUses func(vm string, uses []fairness.Use, lifetime time.Duration)
 	// Quotas moves tokens of quotas with the states; nil: none move.
 	Quotas Quotas
+	// Paces returns what the answers within the last window show of at most limit
+	// upstreams' paces; nil: nothing.
+	Paces func(window time.Duration, limit int) []pace.Claim
+	// OnPaces applies what the answers to another daemon show of upstreams' paces; nil: not
+	// called.
+	OnPaces func(vm string, claims []pace.Claim)
 }
 
 // Exchange runs the protocol. Its state is owned by the control goroutine.
@@ -247,6 +254,7 @@
 	s.Suspects = e.suspects()
 	s.Limits = e.limits()
 	s.WorkspaceUses = e.workspaceUses()
+	s.Paces = e.paces()
 	s.CutOff = e.opts.CutOff != nil && e.opts.CutOff()
 	return s
 }
@@ -288,6 +296,7 @@
 	e.applySuspects(s.GetSuspects())
 	e.applyLimits(s.GetLimits())
 	e.applyWorkspaceUses(s.GetVm(), s.GetWorkspaceUses(), lifetime)
+	e.applyPaces(s)
 	return true
 }
 
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -104,6 +104,7 @@
 		return nil, err
 	}
 	p.quarantine, p.limits, p.shares = p.newQuarantine(ctx), p.newLimits(ctx), fairness.New(p.roomOf)
+	o.Balancer.UsePaceChanges(p.recordPace)
 	p.membership = membership.New(membership.Options{
 		Loop: p.loop, Pool: p.pool, List: o.List, Recorder: r,
 		Self:   fleet.VM{Name: s.VM, PeerAddress: s.PeerListen, DataCentre: s.DataCentre, Site: s.Site},
@@ -117,7 +118,7 @@
 		Loop: p.loop, Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r,
 		Collect: p.ownUse, Apply: p.applyUse, ComputedPrefixes: p.computedPrefixes, OnComputedPrefixes: p.onComputedPrefixes,
 		Announcements: p.announcements, OnAnnouncement: p.onAnnouncement, OnNotice: p.handleNotice,
-		Proof: p.proof, OnProof: p.onProof, Suspect: p.suspect, Limit: p.limit,
+		Proof: p.proof, OnProof: p.onProof, Suspect: p.suspect, Limit: p.limit, Paces: p.paces, OnPaces: p.onPaces,
 		CutOff: o.CutOff, OnCutOff: p.cutOffs.set,
 		WorkspaceUses: p.shares.Own, OnWorkspaceUses: p.onWorkspaceUses,
 		Quotas: p.quotas,
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -31,7 +31,8 @@
 	NewOrderStages(m.registry).Observe("drain", time.Second)
 	one := func() float64 { return 1 }
 	budget := func() map[string]float64 { return map[string]float64{"s": 1} }
-	State{one, one, one, one, one, budget, one, one, one, one, one, one, one, one, one, one, one, one, one}.Register(m.registry)
+	paces := func() map[string]float64 { return map[string]float64{"u": 2} }
+	State{one, one, one, one, one, budget, one, one, one, one, one, one, one, one, one, one, one, paces, one, one}.Register(m.registry)
 	return m
 }
 
@@ -60,6 +61,7 @@
 		`currantpulley_upstreams_behind 1`,
 		`currantpulley_weights_oldest_behind_seconds 1`,
 		`currantpulley_retry_budget_attempts{service="s"} 1`,
+		`currantpulley_upstream_pace_ratio{upstream="u"} 2`,
 		`process_cpu_seconds_total `,
 	} {
 		if !strings.Contains(w.Body.String(), want) {
--- a/internal/metrics/state.go
+++ b/internal/metrics/state.go
@@ -25,6 +25,7 @@
 	TunnelsOpen          func() float64            // connections to upstreams through other daemons
 	TunnelsCarried       func() float64            // connections to upstreams for other daemons
 	UpstreamsLimited     func() float64            // upstreams that state a limit on requests
+	Paces                func() map[string]float64 // time that work takes an upstream, relative to the others of its service, by upstream
 	LogLinesDropped      func() float64            // lines dropped because the log's reader was too slow
 	LogEventsSuppressed  func() float64            // events not logged because of sampling
 }
@@ -56,6 +57,7 @@
 		f.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: g.name, Help: g.help}, g.value)
 	}
 	r.MustRegister(retryBudget(s.RetryBudget))
+	r.MustRegister(paces(s.Paces))
 	f.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_dropped_total", Help: "Log lines dropped because their reader was too slow."}, s.LogLinesDropped)
 	f.NewCounterFunc(prometheus.CounterOpts{
--- a/internal/observe/observe.go
+++ b/internal/observe/observe.go
@@ -79,6 +79,7 @@
 		OldestWeightsBehind:  func() float64 { return d.behind().oldest.Seconds() },
 		QuarantinedParts:     func() float64 { return float64(d.Quarantined()) },
 		UpstreamsLimited:     func() float64 { return float64(d.Balancer.Limited()) },
+		Paces:                d.Balancer.Paces,
 		LogLinesDropped:      func() float64 { return float64(d.Logs.writer.Dropped()) },
 		LogEventsSuppressed:  func() float64 { return float64(d.Logs.sampler.Suppressed()) },
 	}.Register(r)
