Let requests go by paces only where the settings say so

Ruled out: leaving the paces out.

Change: setting use_paces, off by default. Off, paces are learnt, exchanged and shown; expected times and scores are as before.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -58,7 +58,10 @@
 	DataCentre      string               // of this daemon
 	StaleWeightsMax time.Duration        // time since a newer version was announced after which older weights get no work; 0: never
 	OnHoldoff       func(holdoff.Change) // called when an upstream asks for no requests; nil: not called
-	Crossing        crossing.Prices      // of leaving the data centre; not set: a fixed small cost
+	// UsePaces lets expected times and scores take the paces of upstreams, and spreads the
+	// scores; see pace.go and unseen.go. Paces are learnt and shown without it too.
+	UsePaces bool
+	Crossing crossing.Prices // of leaving the data centre; not set: a fixed small cost
 }
 
 // Balancer chooses upstreams by what this daemon has learned of their load,
@@ -99,7 +102,6 @@
 	reportedAt    time.Time         // of that answer
 	slowdown      float64           // see Load.Slowdown
 	pace          float64           // see package pace; 0: not known yet
-	evened        float64           // factor of the wait in the score; 0: 1; see Pick.evenedWait
 	paceFell      bool              // see PaceChange
 	weights       map[string]uint64 // newest version that responses reported, by model
 	backoffUntil  time.Time         // after a failure or a refusal
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -22,26 +22,20 @@
 	paceFell, paceUsual = 1.5, 1.2
 )
 
-// paceOr1 returns the upstream's pace, or the usual one until it is known.
-func (s *upstreamState) paceOr1() float64 {
-	if s.pace == 0 {
+// paceOf returns the pace that counts in expected times: the usual one if paces are only
+// shown, and until the upstream's is known.
+func (b *Balancer) paceOf(s *upstreamState) float64 {
+	if !b.opts.UsePaces || s.pace == 0 {
 		return 1
 	}
 	return s.pace
 }
 
-// slow returns the time that work takes at the upstream, relative to the usual: what it
-// states itself and, on top of that, what its answers show.
-func (s *upstreamState) slow() float64 { return max(1, s.slowdown) * s.paceOr1() }
-
 // evenedWait returns the wait at p's upstream as it counts in the score: with half of the
 // pace's logarithm. All daemons know the same paces, so with the whole of them they would
 // pile work up at the fastest upstreams and leave the slow ones idle.
 func (p *Pick) evenedWait() time.Duration {
-	if p.state.evened == 0 {
-		return p.Wait
-	}
-	return scale(p.Wait, p.state.evened)
+	return scale(p.Wait, 1/math.Sqrt(p.pace))
 }
 
 // updatePaces sets the paces of a service's upstreams.
@@ -57,7 +51,7 @@
 	}
 	for i, value := range b.paces.Paces(ids, now) {
 		s := b.stateOf(all[i].Key(), now)
-		s.pace, s.evened = value, 1/math.Sqrt(value)
+		s.pace = value
 		b.tellPace(s, all[i])
 	}
 }
--- a/internal/balance/pace_test.go
+++ b/internal/balance/pace_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"currantpulley/internal/catalog"
-	"currantpulley/internal/placement/pace"
 )
 
 // Engines and daemons of the simulated fleets. An engine works in steps: in each it reads
@@ -40,7 +39,7 @@
 	engines []*unevenEngine
 	rate    float64         // requests a second
 	work    func() *Work    // the next request
-	unaware bool            // the daemons learn no paces
+	unaware bool            // the daemons use no paces
 	waits   []time.Duration // to the first token, or for a call's answer
 }
 
@@ -69,7 +68,7 @@
 		f.engines = append(f.engines, &unevenEngine{upstream: u, speed: speeds[i%len(speeds)]})
 	}
 	for range fleetDaemons {
-		b := New(Options{DataCentre: "a"})
+		b := New(Options{DataCentre: "a", UsePaces: true})
 		b.random = f.rng.Float64
 		f.daemons = append(f.daemons, b)
 	}
@@ -107,9 +106,7 @@
 // send lets a request come to a random daemon.
 func (f *unevenFleet) send(now time.Time) {
 	b := f.daemons[f.rng.IntN(len(f.daemons))]
-	if f.unaware {
-		b.paces = pace.New()
-	}
+	b.opts.UsePaces = !f.unaware
 	p := b.Pick(f.watcher.Load(), f.work(), now)
 	i := slices.IndexFunc(f.engines, func(e *unevenEngine) bool { return e.upstream == p.Upstream })
 	f.engines[i].queue = append(f.engines[i].queue, &unevenRequest{daemon: b, pick: p, unread: p.prefillTokens, left: p.output, run: testCall})
--- a/internal/balance/score.go
+++ b/internal/balance/score.go
@@ -12,7 +12,8 @@
 // old.
 func (b *Balancer) scoreUpstream(p *Pick, snap *catalog.Snapshot, w *Work, u *catalog.Upstream, t *timing, aff affinity, now time.Time) (time.Duration, bool) {
 	s := b.stateOf(u.Key(), now)
-	*p = Pick{Upstream: u, state: s, prompt: w.Prompt, output: w.output(), urgency: w.urgency(), slow: s.slow(), pace: s.paceOr1()}
+	*p = Pick{Upstream: u, state: s, prompt: w.Prompt, output: w.output(), urgency: w.urgency(), pace: b.paceOf(s)}
+	p.slow = max(1, s.slowdown) * p.pace
 	score := scale(b.unseenWork(now), p.slow)
 	if closed := s.unavailableFor(now); closed > 0 {
 		p.unavailable = true
--- a/internal/balance/unseen.go
+++ b/internal/balance/unseen.go
@@ -46,7 +46,7 @@
 // unseenWork returns a random part of the wait that requests may cause which other daemons
 // sent since their last reports. It is 0 without recent reports.
 func (b *Balancer) unseenWork(now time.Time) time.Duration {
-	if b.reports.interval == 0 || now.Sub(b.peerReportAt) > peerReportMaxAge {
+	if !b.opts.UsePaces || b.reports.interval == 0 || now.Sub(b.peerReportAt) > peerReportMaxAge {
 		return 0
 	}
 	return scale(b.reports.interval, unseenShare*b.random())
--- a/internal/balance/unseen_test.go
+++ b/internal/balance/unseen_test.go
@@ -24,7 +24,7 @@
 	} {
 		atIdle := 0
 		for i := range daemons {
-			b, w := New(Options{DataCentre: "a"}), catalog.NewWatcher()
+			b, w := New(Options{DataCentre: "a", UsePaces: true}), catalog.NewWatcher()
 			b.random = rand.New(rand.NewPCG(uint64(i), 3)).Float64
 			uses := make(map[catalog.Key]Use)
 			for j := range upstreams {
--- a/internal/event/decision.go
+++ b/internal/event/decision.go
@@ -58,7 +58,7 @@
 	{WorkspaceOverShare, "workspace_over_share", Info, "A workspace has more work at a service than its fair share while requests wait there; a part of its requests goes behind others of the same rank. Detail has the service, the work and the share; logged once until the workspace was within its share for a while."},
 	{WorkspaceUseIgnored, "workspace_use_ignored", Warn, "Another daemon told four times the work in progress that all engines of a service have room for, by workspace; what it told before counts until it expires."},
 	{LeftDataCentre, "left_data_centre", Debug, "A request was sent to an upstream in another data centre; detail has the reason: no upstream here, only there in time, or a shorter wait. Those that go where parts of their prompts are kept are only counted, in the metrics."},
-	{PaceFell, "pace_fell", Warn, "Work takes an upstream much longer than the others of its service, by the answers to all daemons; it gets less work. Detail has the factor."},
+	{PaceFell, "pace_fell", Warn, "Work takes an upstream much longer than the others of its service, by the answers to all daemons; with the setting use_paces it gets less work. Detail has the factor."},
 	{PaceRecovered, "pace_recovered", Info, "Work takes an upstream about as long as the others of its service again; detail has the factor."},
 	{PaceClaimDropped, "pace_claim_dropped", Warn, "Another daemon claimed a pace of an upstream that can't be true; the claim was ignored."},
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,6 +40,8 @@
 	Limits        Limits   `toml:"limits"`
 	Bounds        Bounds   `toml:"bounds"`
 	Crossing      Crossing `toml:"crossing"`
+	// UsePaces lets requests go by the pace of each upstream, which is learnt without it too.
+	UsePaces bool `toml:"use_paces"`
 }
 
 // Crossing says what it costs to send a request to an upstream in another data centre, in
