Tell and learn no paces where they aren't used

Cause: without the setting, states carried paces that nobody used, 12 B an upstream in each, and every pick updated them. Change: a daemon whose settings don't use paces learns, tells and shows none. Tests: go test of balance (without the listed brittle flood), placement/pace, event, settings, metrics: pass.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -59,7 +59,7 @@
 	StaleWeightsMax time.Duration        // time since a newer version was announced after which older weights get no work; 0: never
 	OnHoldoff       func(holdoff.Change) // called when an upstream asks for no requests; nil: not called
 	// UsePaces lets expected times and scores take the paces of upstreams, and spreads the
-	// scores; see pace.go and unseen.go. Paces are learnt and shown without it too.
+	// scores; see pace.go and unseen.go. Without it paces are neither told nor shown.
 	UsePaces bool
 	Crossing crossing.Prices // of leaving the data centre; not set: a fixed small cost
 }
--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -22,8 +22,8 @@
 	paceFell, paceUsual = 1.5, 1.2
 )
 
-// paceOf returns the pace that counts in expected times: the usual one if paces are only
-// shown, and until the upstream's is known.
+// paceOf returns the pace that counts in expected times: the usual one if paces aren't
+// used, and until the upstream's is known.
 func (b *Balancer) paceOf(s *upstreamState) float64 {
 	if !b.opts.UsePaces || s.pace == 0 {
 		return 1
@@ -40,7 +40,7 @@
 
 // updatePaces sets the paces of a service's upstreams.
 func (b *Balancer) updatePaces(t *timing, all []*catalog.Upstream, now time.Time) {
-	if since := now.Sub(t.pacedAt); since >= 0 && since < paceInterval {
+	if since := now.Sub(t.pacedAt); !b.opts.UsePaces || since >= 0 && since < paceInterval {
 		return
 	}
 	t.pacedAt = now
@@ -142,6 +142,9 @@
 func (b *Balancer) PaceClaims(window time.Duration, limit int, now time.Time) []pace.Claim {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.opts.UsePaces {
+		return nil
+	}
 	return b.paces.Claims(window, limit, now)
 }
 
