--- a/internal/balance/pace.go
+++ b/internal/balance/pace.go
@@ -95,7 +95,7 @@
 // request that waited for a slot shows how long others ran.
 func (b *Balancer) observePace(p *Pick, now time.Time) {
 	t := b.timingOf(p.Upstream.Service)
-	if p.prompt == nil || p.queued || p.overPace || !t.first.Seen(p.first, longTokens) {
+	if !b.opts.UsePaces || p.prompt == nil || p.queued || p.overPace || !t.first.Seen(p.first, longTokens) {
 		return
 	}
 	took := now.Sub(p.pickedAt) - p.transfer
@@ -107,7 +107,7 @@
 
 // observeEndPace records what the end of p's answer shows of its upstream's pace.
 func (b *Balancer) observeEndPace(t *timing, p *Pick, now time.Time) {
-	if p.beganAt.IsZero() {
+	if !b.opts.UsePaces || p.beganAt.IsZero() {
 		return
 	}
 	id, stated := p.Upstream.ShortID(), p.slow/p.pace
--- a/internal/config/reference.go
+++ b/internal/config/reference.go
@@ -21,6 +21,8 @@
   ` + "`printf %s KEY | sha256sum`" + ` prints them.
 - Settings of a single daemon are in a file of its own (` + "`examples/settings.toml`" + `). Its ` + "`limits.memory_mb`" + ` is the memory of
   the VM; all callers together may hold 0.4 of it, bodies 0.7 of that. Without it, the memory that the system states counts.
+- On a platform the same file has ` + "`[crossing]`" + `, what leaving the data centre costs (not set: little), ` + "`use_paces`" + ` (off), and
+  ` + "`bounds.quota_window`, `quota_overage`, `quota_slack`" + `, what is tolerated beyond quotas of workspaces ([OPERATORS](OPERATORS.md)).
 
 ` + "`currantpulley check FILE...`" + ` reports every problem as FILE:LINE: KEY: MESSAGE. A value outside its
 range or of the wrong type and an unknown key are problems, and so are these: a reference to an item
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -40,7 +40,7 @@
 	Limits        Limits   `toml:"limits"`
 	Bounds        Bounds   `toml:"bounds"`
 	Crossing      Crossing `toml:"crossing"`
-	// UsePaces lets requests go by the pace of each upstream, which is learnt without it too.
+	// UsePaces lets requests go by the pace of each upstream, which all daemons learn together.
 	UsePaces bool `toml:"use_paces"`
 }
 
