Refuse a long line of a trailer for what it is

Cause: a line over the read buffer (2 KB) gave bufio.ErrBufferFull, which is no refusal. It was answered 400 only since the parser took what was left for bad syntax. A body that was refused after its last byte wasn't given back to the buffers either. Ruled out: a larger buffer, which each idle connection would hold. Change: endChunks refuses "its trailer"; readBody drops the body of any request that it refuses.

--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -48,6 +49,7 @@
 		err = c.hold(runningBytes)
 	}
 	if err != nil {
+		dropBuffer(body)
 		return nil, c.refuse(err)
 	}
 	return body[:len(body):len(body)], nil // the rest may hold another caller's bytes
@@ -127,6 +129,9 @@
 func (c *conn) endChunks() error {
 	for size := 0; ; {
 		line, err := c.in.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return malformed("its trailer")
+		}
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/server/cut_test.go
@@ -0,0 +1,39 @@
+package server_test
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"currantpulley/internal/refusal"
+	"currantpulley/internal/server"
+)
+
+// startCounting starts a server that counts the requests refused before their handler.
+func startCounting(t *testing.T) (address string, refused *atomic.Int64) {
+	t.Helper()
+	refused = new(atomic.Int64)
+	s, err := server.Start(server.Options{
+		Address: "127.0.0.1:0", Limits: slowLimits,
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		Refused: func(string, *refusal.Error) { refused.Add(1) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s.Address(), refused
+}
+
+// Guards against a trailer line that doesn't fit the read buffer and is refused for
+// another reason.
+func TestLongTrailerIsNamed(t *testing.T) {
+	address, _ := startCounting(t)
+	c := dial(t, address)
+	got := readAll(t, c, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Long: "+
+		strings.Repeat("a", 4<<10)+"\r\n\r\n")
+	if !strings.HasPrefix(got, "HTTP/1.1 400 ") || !strings.Contains(got, "its trailer") {
+		t.Errorf("%q", got)
+	}
+}
