End no more callers for memory than are needed

The pause between searches counted only after a search that ended nobody. Ruled out: a pause after each search, which delays a request that needs the room of several; waiting for ended callers without a bound, since one whose goroutine hangs would keep all others. Change: a search counts what the callers ended in the last 0.2 s still hold, and ends nobody if that is enough.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -30,8 +30,11 @@
 	// slowReaderAfter is the same for a caller that doesn't read its answer. It is
 	// longer, since the request has run.
 	slowReaderAfter = 2 * time.Second
-	// scanPause is the time between two searches for a holding to end.
+	// scanPause is the time after a search that ended nobody until the next one.
 	scanPause = 20 * time.Millisecond
+	// releaseTime is how long what an ended holding has is expected to become free. One
+	// whose goroutine hangs must not keep others from being ended.
+	releaseTime = 200 * time.Millisecond
 
 	reserveShare = 0.3      // of the limit, for small holdings
 	smallBytes   = 64 << 10 // largest size of a holding that may use the reserve
@@ -91,8 +94,9 @@
 	since   atomic.Int64 // time of the state or of the latest progress in it, in ns
 
 	// Guarded by the account's lock.
-	size  int64
-	ended bool
+	size    int64
+	ended   bool
+	endedAt time.Time
 }
 
 // Open returns an empty holding. end is called, with the state in which its caller
@@ -162,8 +166,7 @@
 		}
 	}
 	if victim != nil {
-		victim.ended = true
-		a.counts[Stalled]++
+		a.choose(victim, Stalled, now)
 	}
 	a.mu.Unlock()
 	if victim != nil {
@@ -196,11 +199,16 @@
 		a.scanAt = now.Add(scanPause)
 		return nil, Full
 	}
-	victim.ended = true
-	a.counts[reason]++
+	a.choose(victim, reason, now)
 	return victim, reason
 }
 
+// choose marks the holding that is ended next.
+func (a *Account) choose(victim *Holding, reason Reason, now time.Time) {
+	victim.ended, victim.endedAt = true, now
+	a.counts[reason]++
+}
+
 // room returns the limit for a holding that would have the given size.
 func (a *Account) room(size int64) int64 {
 	if size <= smallBytes {
@@ -210,12 +218,21 @@
 }
 
 // victim returns the holding to end for h, which wants the given size: the largest that
-// stopped, or the largest of all if h is small. Small ones are ended for small ones only.
+// stopped, or the largest of all if h is small. Small ones are ended for small ones only,
+// and none while those ended before are about to give back enough.
 func (a *Account) victim(h *Holding, size int64, now time.Time) (*Holding, Reason) {
 	var stopped, largest *Holding
+	var coming int64
 	for o := range a.holdings {
 		state := State(o.state.Load())
-		if o == h || o.ended || state == Running || o.size <= smallBytes && size > smallBytes {
+		if o == h || state == Running {
+			continue
+		}
+		if o.ended {
+			coming += o.coming(now)
+			continue
+		}
+		if o.size <= smallBytes && size > smallBytes {
 			continue
 		}
 		if o.stopped(now) && (stopped == nil || o.size > stopped.size) {
@@ -226,6 +243,8 @@
 		}
 	}
 	switch {
+	case a.used-coming+size-h.size <= a.room(size):
+		return nil, Full
 	case stopped != nil:
 		return stopped, Stalled
 	case size <= smallBytes && largest != nil:
@@ -234,6 +253,14 @@
 	return nil, Full
 }
 
+// coming returns the bytes of an ended holding that should become free soon.
+func (h *Holding) coming(now time.Time) int64 {
+	if now.Sub(h.endedAt) >= releaseTime {
+		return 0
+	}
+	return h.size
+}
+
 // stopped reports whether the caller of h has stopped sending or reading.
 func (h *Holding) stopped(now time.Time) bool {
 	quiet := time.Duration(now.UnixNano() - h.since.Load())
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -82,6 +82,33 @@
 	}
 }
 
+// Guards against a crowd that waits for room and ends far more callers than it needs,
+// because those ended before have not given back yet.
+func TestNoMoreCallersEndThanAreNeeded(t *testing.T) {
+	a, now := New(limit), time.Unix(1000, 0)
+	for range 5 {
+		open(a, now).Grow(130<<10, now)
+	}
+	now = now.Add(stalledAfter)
+	crowd := make([]*caller, 40)
+	for i := range crowd {
+		crowd[i] = open(a, now)
+	}
+	for range 3 {
+		for _, c := range crowd {
+			c.Grow(100<<10, now)
+		}
+		now = now.Add(scanPause)
+	}
+	if n := a.Ended()[Stalled]; n != 1 {
+		t.Errorf("ended %d callers for room that one has", n)
+	}
+	now = now.Add(releaseTime)
+	if crowd[0].Grow(100<<10, now); a.Ended()[Stalled] != 2 {
+		t.Errorf("ended %d callers, the first of which kept what it held", a.Ended()[Stalled])
+	}
+}
+
 // Guards against connections that send nothing keeping new ones out.
 func TestNewConnectionsEndTheQuietest(t *testing.T) {
 	a, now := New(0), time.Unix(1000, 0)
