Answer no caller that has left within its body

Cause: when a caller disconnects within its body, serve returned the read's error and left the request marked as begun. The next Read took that for a head that nbhttp's parser had not accepted: it wrote 400 "malformed: its syntax", recorded a refusal (2013) and lingered. Ruled out: looking at readError before started in nextHead: a body that was refused sets both, too, and only serve knows that its request is over. Change: serve marks the request as over when its body can't be read. Figures: TestCallerThatLeavesWithinItsBodyGetsNoAnswer failed before (two answers, two refusals), passes now; go test -race ./internal/server: all pass but TestLeavingIsSeenInTimeOnABusyMachine (2010 turns; load average 26 on 7 cores), which passed 4 of 4 alone.

--- a/internal/server/cut_test.go
+++ b/internal/server/cut_test.go
@@ -1,10 +1,13 @@
 package server_test
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"currantpulley/internal/refusal"
 	"currantpulley/internal/server"
@@ -37,3 +40,28 @@
 		t.Errorf("%q", got)
 	}
 }
+
+// Guards against an answer to a caller that left within its body, and a refusal that is
+// recorded for it.
+func TestCallerThatLeavesWithinItsBodyGetsNoAnswer(t *testing.T) {
+	address, refused := startCounting(t)
+	for _, input := range []string{
+		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabc",
+	} {
+		c := dial(t, address)
+		if _, err := io.WriteString(c, input); err != nil {
+			t.Fatal(err)
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if got, err := io.ReadAll(c); err != nil || len(got) > 0 {
+			t.Errorf("%q: answer %q, %v", input, got, err)
+		}
+	}
+	if n := refused.Load(); n > 0 {
+		t.Errorf("%d refusals are recorded", n)
+	}
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -240,7 +240,7 @@
 	_, _, _ = res.Hijack() // Writer writes the response
 	body, err := c.readBody()
 	if err != nil {
-		c.readError = err
+		c.started, c.readError = false, err // refused, or there is nobody to answer
 		return
 	}
 	s.activeRequests.Add(1)
