Tell callers' progress by the clock that no one sets

Cause: progress of a caller was kept as the time of day. A step of the clock by 0.4 s made every caller count as stopped, so that any could be ended when memory or connections were short; a step back made none so until the clock had caught up. Ruled out: comparing time.Time values, whose monotonic reading an atomic integer can't hold. Change: the server passes freshness.Time() to its holdings and account. Deadlines of sockets are as before.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -19,6 +19,7 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/hangup"
 	"currantpulley/internal/memory"
 	"currantpulley/internal/refusal"
@@ -86,7 +87,7 @@
 		c.Conn = tls.Server(tcp, s.opts.TLS)
 	}
 	c.in = bufio.NewReaderSize(c.Conn, readBuffer)
-	c.held = s.opts.Memory.Open(time.Now(), c.exhaust)
+	c.held = s.opts.Memory.Open(freshness.Time(), c.exhaust)
 	return c
 }
 
@@ -159,7 +160,7 @@
 	if limits.ReadTimeout > 0 {
 		_ = c.tcp.SetReadDeadline(time.Now().Add(limits.ReadTimeout))
 	}
-	c.held.Progress(time.Now())
+	c.held.Progress(freshness.Time())
 	if c.exhausted.Load() != nil { // the deadline that ends the read may be lost
 		return c.reject(errNoMemory())
 	}
@@ -256,7 +257,7 @@
 func (c *conn) startReadAhead(leave func()) {
 	c.started = false
 	_ = c.tcp.SetReadDeadline(time.Time{})
-	c.held.Enter(memory.Running, time.Now())
+	c.held.Enter(memory.Running, freshness.Time())
 	c.early.Store(c.in.Buffered() > 0)
 	c.readAheadDone = make(chan struct{})
 	go c.readAhead(leave, c.readAheadDone)
--- a/internal/server/exhaust.go
+++ b/internal/server/exhaust.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"currantpulley/internal/event"
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/memory"
 	"currantpulley/internal/refusal"
 )
@@ -32,8 +33,8 @@
 // hold waits for n bytes of memory for the request that is being read. It returns a
 // refusal if there is none.
 func (c *conn) hold(n int64) error {
-	now := time.Now()
-	for end := now.Add(memoryWait); !c.held.Grow(n, now); now = time.Now() {
+	now := freshness.Time()
+	for end := now.Add(memoryWait); !c.held.Grow(n, now); now = freshness.Time() {
 		if c.exhausted.Load() != nil {
 			return errNoMemory()
 		}
@@ -60,7 +61,7 @@
 }
 
 // progress records that the caller has sent something.
-func (c *conn) progress() { c.held.Progress(time.Now()) }
+func (c *conn) progress() { c.held.Progress(freshness.Time()) }
 
 // exhaust ends the caller, whose memory is needed elsewhere. One that doesn't read its
 // answer is cut; one that doesn't send gets a refusal from the goroutine that reads.
--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"currantpulley/internal/event"
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/memory"
 	"currantpulley/internal/server"
 )
@@ -119,6 +120,26 @@
 	}
 }
 
+// Guards against a step of the clock that makes all callers, or none, count as stopped:
+// progress is told by the clock that no one sets.
+func TestProgressIsNotToldByTheTimeOfDay(t *testing.T) {
+	began := freshness.Time()
+	s, a := startAccounted(t, func(http.ResponseWriter, *http.Request) {}, nil)
+	c := dial(t, s.Address())
+	post(c, 1, 1)
+	if got, _ := statusOf(c); got != http.StatusOK {
+		t.Fatalf("status %d", got)
+	}
+	if a.EndStopped(began) {
+		t.Error("a caller that sent since counts as stopped")
+	}
+	for end := time.Now().Add(time.Second); !a.EndStopped(freshness.Time().Add(time.Minute)); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a caller that sent nothing for a minute doesn't count as stopped")
+		}
+	}
+}
+
 // BenchmarkRequest measures a small request and its answer over a kept connection.
 func BenchmarkRequest(b *testing.B) {
 	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: slowLimits,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -25,6 +25,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 
 	"currantpulley/internal/event"
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/hangup"
 	"currantpulley/internal/memory"
 	"currantpulley/internal/presence"
@@ -189,7 +190,7 @@
 	limit := min(s.opts.Limits().MaxConnections, s.descriptors)
 	if open := s.openConns.Add(1); open > int64(limit) && !s.makeRoom(int(open)-limit, limit) {
 		c.refused = refusal.New(refusal.TooManyConnections, "too many connections are open")
-	} else if !c.held.Grow(connectionBytes, time.Now()) {
+	} else if !c.held.Grow(connectionBytes, freshness.Time()) {
 		c.refused = errNoMemory()
 	}
 }
@@ -197,7 +198,7 @@
 // makeRoom ends a connection on which nothing is sent, so that a new one above the limit
 // is served. It reports false if there is none, or if too many are being ended.
 func (s *Server) makeRoom(excess, limit int) bool {
-	return excess <= max(1, int(endingShare*float64(limit))) && s.opts.Memory.EndStopped(time.Now())
+	return excess <= max(1, int(endingShare*float64(limit))) && s.opts.Memory.EndStopped(freshness.Time())
 }
 
 // onClose removes a connection from the server and closes it. In the blocking mode
@@ -256,7 +257,7 @@
 		c.stopReadAhead()
 		out.finish()
 		c.held.Shrink(connectionBytes)
-		c.held.Enter(memory.Sending, time.Now())
+		c.held.Enter(memory.Sending, freshness.Time())
 	}()
 	defer out.abortOnPanic()
 	r = r.WithContext(ctx)
--- a/internal/server/writer.go
+++ b/internal/server/writer.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"currantpulley/internal/freshness"
 	"currantpulley/internal/memory"
 )
 
@@ -179,11 +180,11 @@
 		return w.err
 	}
 	w.conn.extendWriteDeadline(w.timeout)
-	w.conn.held.Enter(memory.Reading, time.Now())
+	w.conn.held.Enter(memory.Reading, freshness.Time())
 	if _, err := w.conn.Write(w.out); err != nil {
 		w.err = fmt.Errorf("write to caller: %w", err)
 	}
-	w.conn.held.Enter(memory.Running, time.Now())
+	w.conn.held.Enter(memory.Running, freshness.Time())
 	w.out = w.out[:0]
 	return w.err
 }
@@ -209,7 +210,7 @@
 }
 
 // Room reports whether n more bytes of the answer may be held before they are written.
-func (w *Writer) Room(n int64) bool { return w.conn.held.Grow(n, time.Now()) }
+func (w *Writer) Room(n int64) bool { return w.conn.held.Grow(n, freshness.Time()) }
 
 // Abort closes the connection. A caller that has received part of a response sees
 // that it is incomplete.
