Say what the memory account and the store's readers do

Cause: what holds without memory_mb was told in three ways; some bounds of the notes and comments were not those of the code (heads, descriptors, slow readers, times for which a reader is left alone); Distrust and Interrupt were not named as safe. Ruled out: changing the code: each of these was compared with it, and it is as meant.

--- a/internal/control/feed/feed.go
+++ b/internal/control/feed/feed.go
@@ -160,8 +160,8 @@
 }
 
 // Topic is a topic that this daemon follows. All methods of a nil Topic do nothing: the
-// daemon reads for itself. Only Serves and the server may be called at the same time as
-// the other methods.
+// daemon reads for itself. Only Serves, Distrust and the server may be called at the same time
+// as the other methods.
 type Topic struct {
 	feed   *Feed
 	name   string
--- a/internal/control/feed/source.go
+++ b/internal/control/feed/source.go
@@ -11,15 +11,15 @@
 )
 
 const (
-	// readersPerTopic is the number of daemons of a data centre that read a topic. The
-	// loss of one costs nothing.
+	// readersPerTopic is the number of daemons of a data centre that read a topic. There
+	// is more than one so that another is there when one is lost.
 	readersPerTopic = 2
 	// fedMin is the number of daemons in a data centre from which some are fed. With
 	// fewer, the reads that would be saved aren't worth the dependence on others.
 	fedMin = 9
 
-	retryMin = time.Second      // shortest time for which a reader that failed isn't called
-	retryMax = 16 * time.Second // longest
+	retryMin = time.Second      // mean time for which a reader isn't called after its first failure
+	retryMax = 16 * time.Second // the same after many
 	// distrustTime is the least time for which this daemon reads for itself after it
 	// learnt that it was fed too little.
 	distrustTime = time.Second
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -160,7 +160,7 @@
 
 // Interrupt cancels the pending read and starts a new one on a new connection. It is
 // called when newer records are known to exist, which a read on a connection that
-// hangs doesn't return, or a daemon that reads for this one.
+// hangs doesn't return, or a daemon that reads for this one. It is safe for concurrent use.
 func (f *Follower) Interrupt() {
 	f.Feed.Distrust()
 	f.interrupt()
--- a/internal/memory/machine.go
+++ b/internal/memory/machine.go
@@ -11,9 +11,9 @@
 	runtimeShare = 0.7 // of the machine's memory, as the runtime's soft limit
 	callerShare  = 0.4 // of the machine's memory, for callers
 	gcPercent    = 40  // growth of the heap between two collections, in percent
-	fallback     = 1 << 30
 
-	megabyte = 1 << 20
+	assumedMemory = 1 << 30 // bytes, if the system states none
+	megabyte      = 1 << 20
 )
 
 // LimitRuntime makes the Go runtime collect garbage early enough for a machine of mb
@@ -26,7 +26,7 @@
 }
 
 // ForCallers returns the bytes that a process may hold for callers on a machine of mb
-// megabytes; 0: as much memory as the system states.
+// megabytes; 0 or less: of a machine with the memory that the system states.
 func ForCallers(mb int) int64 {
 	bytes := int64(mb) * megabyte
 	if mb <= 0 {
@@ -38,7 +38,7 @@
 // ofMachine returns the memory of the machine or of the process's control group,
 // whichever is less.
 func ofMachine() int64 {
-	total := int64(fallback)
+	total := int64(assumedMemory)
 	if info, err := os.ReadFile("/proc/meminfo"); err == nil {
 		_, rest, _ := strings.Cut(string(info), "MemTotal:")
 		kilobytes, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
