Answer the requests a stopping daemon has accepted in the own mode

Cause: Stop polled for the moment at which no request was in progress and then closed all connections. A request counts as in progress only once its body is read, so one that was sent whole at that moment was cut.

Ruled out: closing the listener right after the drain delay, as the platform's stop does: here new connections get a 503 with X-Effect: not-run until the last stream ends, which TestStopFinishesStreams asks for.

Change: responses announce the end of their connection from the start of the drain on. When no request is in progress, the listener and the idle connections are closed with the server's StopAccepting and CloseIdle, which the platform uses too, and Stop waits until all connections have ended.

Tests: TestStopAnswersAllRequests (20 busy callers on kept and new connections, 60 kept connections used when the daemon has seen that no request is in progress).

Connections that a caller establishes while the listener is closed may be reset by the kernel before they are accepted.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -234,13 +234,15 @@
 	}
 }
 
-// drainPoll is the interval at which Stop checks for requests in progress.
+// drainPoll is the interval at which Stop checks for requests and connections.
 const drainPoll = 20 * time.Millisecond
 
 // Stop shuts the daemon down gracefully. The daemon fails its readiness probe and
 // announces to its peers that it is leaving, keeps admitting requests for the drain
-// delay so that both can notice, and then lets the requests in progress finish. Stop
-// returns an error if they have not finished when the drain timeout or ctx ends.
+// delay so that both can notice, and then lets the requests in progress finish. It
+// closes connections only when they are idle, as a request that was accepted must get
+// a response. Stop returns an error if requests have not finished when the drain timeout
+// or ctx ends.
 func (d *Daemon) Stop(ctx context.Context) error {
 	if !d.ready.leave() {
 		return errors.New("the daemon is stopping already")
@@ -249,6 +251,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Drain.Delay.Std()+d.settings.Drain.Timeout.Std())
 	defer cancel()
 	defer d.Kill()
+	d.callers.Drain()
 	if err := d.control.membership.Leave(ctx); err != nil {
 		d.recorder.Record(event.Event{ID: event.DaemonDraining, Step: "announce leaving", Err: err})
 	}
@@ -259,10 +262,13 @@
 		d.state.draining = true
 		d.state.publish(now)
 	})
-	for d.callers.Active() > 0 {
-		if err := sleep(ctx, drainPoll); err != nil {
-			return fmt.Errorf("drain: %d requests still in progress: %w", d.callers.Active(), err)
-		}
+	if err := awaitNone(ctx, d.callers.Active); err != nil {
+		return fmt.Errorf("drain: %d requests still in progress: %w", d.callers.Active(), err)
+	}
+	d.callers.StopAccepting()
+	d.callers.CloseIdle()
+	if err := awaitNone(ctx, d.callers.Open); err != nil {
+		return fmt.Errorf("drain: %d connections still open: %w", d.callers.Open(), err)
 	}
 	d.drainCalls(ctx)
 	d.recorder.Record(event.Event{ID: event.DaemonStopped})
@@ -284,6 +290,16 @@
 	}
 }
 
+// awaitNone waits until count returns 0, and returns an error if ctx ends before.
+func awaitNone(ctx context.Context, count func() int64) error {
+	for count() > 0 {
+		if err := sleep(ctx, drainPoll); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // sleep waits for t. It returns early, with an error, if ctx ends.
 func sleep(ctx context.Context, t time.Duration) error {
 	timer := time.NewTimer(t)
