Make up for what nobody minted while daemons learn how many they are

Cause: after all daemons were killed, buckets stayed empty until the number of daemons had settled, and began to fill then. Ruled out: minting before the number is known. Change: a daemon's first part counts from the start of its process on, as nobody minted for it meanwhile. Evidence: TestFirstPartCountsFromTheStart (0 tokens before).

--- a/internal/quota/book.go
+++ b/internal/quota/book.go
@@ -24,6 +24,7 @@
 type Book struct {
 	tolerance Tolerance
 	part      float64 // of each quota that this daemon mints
+	hasPart   bool    // it had a part; until then nothing is minted, and later that is made up for
 	accounts  map[ID]*account
 }
 
@@ -38,11 +39,14 @@
 func NewBook(t Tolerance) *Book { return &Book{tolerance: t, accounts: make(map[ID]*account)} }
 
 // SetPart sets the part of each quota that this daemon mints from now on.
+//
+// The first part counts from the start of the process on: a daemon learns how many there
+// are only after a while, and nobody minted for it meanwhile.
 func (b *Book) SetPart(part float64, now time.Time) {
 	for _, a := range b.accounts {
-		a.mint(b.part, now)
+		b.mint(a, now)
 	}
-	b.part = part
+	b.part, b.hasPart = part, b.hasPart || part > 0
 }
 
 // SetQuotas sets the quotas of all workspaces that have one. A lower rate scales what is
@@ -58,8 +62,11 @@
 		case a == nil:
 			b.accounts[id] = &account{quota: q, bucket: newBucket(q, b.tolerance.life(q), now), minted: now}
 		case a.quota != q:
-			a.mint(b.part, now)
+			b.mint(a, now)
 			a.change(q, b.tolerance.life(q), now)
+			if !b.hasPart {
+				a.minted = now // a raised quota fills nothing
+			}
 		}
 	}
 }
@@ -160,11 +167,20 @@
 func (b *Book) account(id ID, now time.Time) *account {
 	a := b.accounts[id]
 	if a != nil {
-		a.mint(b.part, now)
+		b.mint(a, now)
 	}
 	return a
 }
 
+// mint adds what this daemon's part of a's quota brings up to now.
+func (b *Book) mint(a *account, now time.Time) {
+	if !b.hasPart {
+		a.bucket.advance(now)
+		return
+	}
+	a.mint(b.part, now)
+}
+
 // mint adds what part of the quota brings up to now, each step's tokens with their age.
 func (a *account) mint(part float64, now time.Time) {
 	a.bucket.advance(now)
--- a/internal/quota/book_test.go
+++ b/internal/quota/book_test.go
@@ -112,3 +112,29 @@
 		}
 	}
 }
+
+// Load that it answers: all daemons were killed and start again together. What nobody
+// minted until they know how many they are is there at once, and no more than that.
+func TestFirstPartCountsFromTheStart(t *testing.T) {
+	const rate, part = 1000.0, 0.25
+	now := time.Unix(100, 0)
+	b := NewBook(Tolerance{})
+	b.SetQuotas(map[ID]Quota{simID: {Rate: rate, Burst: 2 * rate, Unit: Tokens}}, now)
+	now = now.Add(time.Second)
+	b.SetPart(0, now)
+	if got := Sum(b.TakeAll(simID, now)); got != 0 {
+		t.Errorf("%g tokens without a part", got)
+	}
+	now = now.Add(time.Second)
+	b.SetPart(part, now)
+	if got := Sum(b.TakeAll(simID, now)); math.Abs(got-2*part*rate) > 1 {
+		t.Errorf("%g tokens 2 s after the start, want %g", got, 2*part*rate)
+	}
+	now = now.Add(time.Second)
+	b.SetPart(0, now) // out of contact
+	now = now.Add(time.Second)
+	b.SetPart(part, now)
+	if got := Sum(b.TakeAll(simID, now)); math.Abs(got-part*rate) > 1 {
+		t.Errorf("%g tokens after a second with a part and one without, want %g", got, part*rate)
+	}
+}
