Send nothing more on a connection whose response names no request

Cause: a plain service may return no X-Request-Id. When such a service sent a second copy of an answer, late, on a connection that was in use again, the next caller got it as the answer to its own call (own mode, repeatable calls; calls that run once have connections of their own).

Ruled out: refusing responses that name no request: the contract allows them to plain services. Closing the connection with the body: the transport gives it to the next request at the end of the body, which would be cut.

Change: the connection is marked before the body is read, and requests pass it over without a byte written, as those do that it has refused. It costs services without the id a connection for each call; docs/API.md says so.

Tests: TestLateCopyOfAnAnswerReachesNoOtherCaller.

Left: an answer without a body may free its connection a moment before it is marked.

--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -413,3 +413,32 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// Guards against an answer that reaches the next caller on its connection, because the
+// upstream sent it a second time, late.
+func TestLateCopyOfAnAnswerReachesNoOtherCaller(t *testing.T) {
+	for name, named := range map[string]bool{"named": true, "unnamed": false} {
+		t.Run(name, func(t *testing.T) {
+			var lastID, last string // the requests come one after the other
+			u := newRawUpstream(t, func(w io.Writer, r *http.Request, number int) bool {
+				if number > 1 {
+					writeRaw(w, http.StatusOK, lastID, last)
+				}
+				last = r.URL.RawQuery
+				if named {
+					lastID = r.Header.Get("X-Request-Id")
+				}
+				writeRaw(w, http.StatusOK, lastID, last)
+				return true
+			})
+			d := startDaemon(t, testConfig(nil, []string{u.address}))
+			for i := range 6 {
+				query := fmt.Sprint("n=", i)
+				got := ask(t, d, http.MethodPost, "/stock?"+query, "{}")
+				if got.status == http.StatusOK && got.body != query || !named && got.status != http.StatusOK {
+					t.Errorf("request %s: %+v", query, got)
+				}
+			}
+		})
+	}
+}
--- a/internal/upstream/refusals.go
+++ b/internal/upstream/refusals.go
@@ -38,3 +38,11 @@
 		tracked.noteRefused(r.id)
 	}
 }
+
+// NoteUnnamed records that the response names no request. No other request is sent on
+// its connection.
+func (r *Reply) NoteUnnamed() {
+	if tracked, ok := r.conn.(*trackedConn); ok {
+		tracked.noteUnnamed()
+	}
+}
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -21,7 +21,8 @@
 // send sends req as request id over t and returns the response, whose body is not read
 // yet. Nothing is believed of a response that names another request, or none if n is
 // named: its connection is closed, as what follows on it may belong to other requests
-// too, and the error is ErrWrongRequestID. Only a response that names its request can
+// too, and the error is ErrWrongRequestID. No other request is sent on the connection of a
+// response that names none. Only a response that names its request can
 // state that it did not run.
 func send(t http.RoundTripper, req *http.Request, id string, n naming) (*Response, error) {
 	req.Header.Set(HeaderRequestID, id)
@@ -34,6 +35,9 @@
 		reply.Discard()
 		return nil, &SendError{Sent: true, Reused: reply.Reused, Err: fmt.Errorf("%w: %q instead of %q", ErrWrongRequestID, owner, id)}
 	}
+	if owner == "" {
+		reply.NoteUnnamed()
+	}
 	notRun := owner == id && statesNotRun(reply.StatusCode, reply.Header)
 	if notRun {
 		reply.NoteRefused()
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -178,7 +178,7 @@
 	before int64      // bytes that were written to conn before the request
 	reused bool       // conn had served another request before
 	broken bool       // the transport looked for another connection after a byte was written
-	passed bool       // the request must not be sent on conn, which refused it before
+	passed bool       // the request must not be sent on conn, by mayCarry
 }
 
 // getConn makes the transport give up when it looks for another connection after a
@@ -208,7 +208,7 @@
 		return
 	}
 	s.conn, s.reused, s.wrote = info.Conn, info.Reused, make(chan error, 1)
-	s.passed = ok && s.id != "" && tracked.hasRefused(s.id)
+	s.passed = ok && !tracked.mayCarry(s.id)
 	if s.passed {
 		tracked.seal() // the write fails, after which the transport closes the connection
 	}
@@ -274,8 +274,8 @@
 	}
 }
 
-// passedOver reports whether the request was not sent because its latest connection had
-// refused it before. That connection is not used again.
+// passedOver reports whether the request was not sent because its latest connection may
+// not carry it. That connection is not used again.
 func (s *singleSend) passedOver() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/upstream/trackedconn.go
+++ b/internal/upstream/trackedconn.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	written int64 // bytes that were handed to the kernel, or may be by a write in progress
 	sealed  bool
+	unnamed bool // a response on it named no request
 	refused refusals
 	send    *singleSend // latest request that got the connection
 	begun   bool        // a byte of that request was handed to the kernel
@@ -105,11 +106,20 @@
 	c.refused.add(id)
 }
 
-// hasRefused reports whether request id was refused on the connection.
-func (c *trackedConn) hasRefused(id string) bool {
+// noteUnnamed records that a response on the connection named no request.
+func (c *trackedConn) noteUnnamed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.refused.contain(id)
+	c.unnamed = true
+}
+
+// mayCarry reports whether request id may be sent on the connection. It may not if it was
+// refused there, or if a response there named no request: a second copy of that one would
+// be taken for the response to the next request.
+func (c *trackedConn) mayCarry(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.unnamed && (id == "" || !c.refused.contain(id))
 }
 
 // seal forbids all further writes and returns the number of bytes that were written, or
