--- a/internal/balance/crossing.go
+++ b/internal/balance/crossing.go
@@ -142,7 +142,7 @@
 		Gap: s.here.score - s.elsewhere.score, Here: s.openHere, Elsewhere: s.openElsewhere,
 		Arriving: b.crossings.meterOf(w.Service).Rate(now) * float64(daemons), Delay: delay,
 	}.Part()
-	return crossing.Goes(part, w.Hash)
+	return crossing.IsInPart(part, w.Hash)
 }
 
 // meterWork records the work that a request brings, as p would do it.
--- a/internal/control/follow/follow.go
+++ b/internal/control/follow/follow.go
@@ -264,6 +264,16 @@
 		f.next = -1 // the offset may belong to another record now
 		return nil
 	}
+	f.applyRead(batch, sent, wait)
+	if len(batch.Records) > 0 {
+		sleep(ctx, pause)
+	}
+	return nil
+}
+
+// applyRead applies what a read from the store returned, which was sent at the given instant
+// and could wait, and serves it to others.
+func (f *Follower) applyRead(batch Batch, sent freshness.Instant, wait time.Duration) {
 	received := freshness.Now()
 	if f.lastFailed {
 		f.regainedAt = received
@@ -276,15 +286,11 @@
 	}
 	f.next += int64(len(batch.Records))
 	f.noteApplied()
-	if len(batch.Records) > 0 {
-		defer sleep(ctx, pause)
-	}
 	if f.next >= batch.End {
 		f.setProved(provedUntil(sent, received, wait, len(batch.Records) == 0))
 	}
 	served.Proved = f.provedInEra()
 	f.Feed.Add(served)
-	return nil
 }
 
 // errRegained: the daemon that read for this one had lost the store.
--- a/internal/crossing/crossing.go
+++ b/internal/crossing/crossing.go
@@ -8,6 +8,8 @@
 import (
 	"math"
 	"time"
+
+	"currantpulley/internal/rendezvous"
 )
 
 const (
@@ -108,8 +110,8 @@
 	return min(1, levels/unseen)
 }
 
-// Goes reports whether the request whose id has the given hash belongs to a part of all.
-func Goes(part float64, hash uint64) bool { return float64(hash>>11)/(1<<53) < part }
+// IsInPart reports whether the request whose id has the given hash belongs to a part of all.
+func IsInPart(part float64, hash uint64) bool { return rendezvous.Fraction(hash) < part }
 
 // rateTime is the time constant of the average rate of a Meter.
 const rateTime = 3 * time.Second
--- a/internal/crossing/fleet_test.go
+++ b/internal/crossing/fleet_test.go
@@ -119,7 +119,7 @@
 		return true
 	}
 	d := Division{Gap: gap, Here: f.servers[site], Elsewhere: f.servers[best], Arriving: rate * perSite, Delay: delay}
-	return Goes(d.Part(), f.rng.Uint64())
+	return IsInPart(d.Part(), f.rng.Uint64())
 }
 
 func (f *fleet) send(site, daemon, to int) {
--- a/internal/fairness/fairness.go
+++ b/internal/fairness/fairness.go
@@ -274,13 +274,10 @@
 		return p
 	}
 	p.Part = p.Level / p.Asked
-	p.Behind = fraction(rendezvous.Weight(uint64(f.Workspace), id)) >= p.Part
+	p.Behind = rendezvous.Fraction(rendezvous.Weight(uint64(f.Workspace), id)) >= p.Part
 	return p
 }
 
-// fraction maps a hash to a number from 0 to below 1.
-func fraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
-
 // level returns the work that a workspace gets at most if the given part of all that is
 // asked has room and is divided max-min. It is an equal part of all that is asked at least:
 // where most of that waits, small errors in the part would else put workspaces behind that
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -132,7 +132,8 @@
 	Lots      []Lot
 }
 
-// Charge is the tokens that were taken for a request.
+// Charge is the tokens that were taken for a request. What a large one owes beyond them is
+// not in it and is not given back.
 type Charge struct {
 	Workspace ID
 	Lots      []Lot
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -25,6 +25,9 @@
 	return z ^ (z >> 31)
 }
 
+// Fraction maps a hash to a number from 0 to below 1.
+func Fraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
+
 // ranked is a name's index with its weight.
 type ranked struct {
 	index  int
