Decide once whether a daemon is in contact with the others

Cause: the quotas brought peers.inContact, the check that the share of retries already made in platform/run.go with a bound of its own, 5 s in both. No behaviour changes. Tests: go vet and the linter on both packages; go test of peers and of platform's retry, share, lease and departure tests: pass.

--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -111,7 +111,7 @@
 		OnView: func(fleet.View) {}, ListReaders: listReaders,
 	})
 	p.quotas = quotas.New(quotas.Options{
-		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, InContact: p.inContact,
+		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, InContact: p.InContact,
 		Tolerance: quota.Tolerance{Window: s.Bounds.QuotaWindow.Std(), Overage: s.Bounds.QuotaOverage, Slack: s.Bounds.QuotaSlack},
 	})
 	p.exchange = exchange.New(exchange.Options{
@@ -171,8 +171,8 @@
 // from a daemon that is in contact with it.
 const contactAge = 5 * time.Second
 
-// inContact reports whether this daemon is in contact with the others or the store.
-func (p *Peers) inContact() bool { return p.opts.Proof.Within(contactAge, freshness.Now()) }
+// InContact reports whether this daemon is in contact with the others or the store.
+func (p *Peers) InContact() bool { return p.opts.Proof.Within(contactAge, freshness.Now()) }
 
 // Live returns the number of daemons that may be serving, this one included.
 func (p *Peers) Live() int { return max(1, p.View().LiveCount()) }
