--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -22,7 +22,7 @@
 
 func main() {
 	cases := map[string]func(rec *recorder) (broken bool){
-		"wall": runWall, "origins": runOrigins, "poison": runPoison, "odd-entry": runOddEntry, "order": runOrder, "drill": runDrill,
+		"wall": runWall, "origins": runOrigins, "poison": runPoison, "odd-entry": runOddEntry, "order": runOrder, "drill": runDrill, "part": runPart,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: lab-2 CASE FOLDER")
