--- a/review/lab-2/case_order.go
+++ b/review/lab-2/case_order.go
@@ -38,7 +38,7 @@
 	nameWeights(s)
 	startMachines(8, s.address())
 	awaitReady(20 * time.Second)
-	time.Sleep(24 * time.Second) // until the daemons have their parts of the retry budget
+	time.Sleep(10 * time.Second) // until the daemons know each other
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	mixed, whole, taken := 0, 0, 0
