Decode the messages of a prompt one at a time

What callers saw: none yet; found by a crowd of ours. In the own mode, 40 callers that sent whole model requests of 4 MB made of empty messages took a process to 194 MB where the machine has 96 (188 MB with 120 callers): on a VM it ends.

Cause: the account counts the bytes of a body. A message of 3 bytes ({},) became a struct of 40, in a list that was copied as it grew; a list of empty prompts took 16 bytes for 3. Parsing one body at a time bounds the number, not the size.

TestTextOfRequests passed before and after: texts and refusals are the same.

Why it works: json hands over the list as it stands in the body, and its elements are decoded one after the other into the text.

--- a/internal/daemon/crowds_test.go
+++ b/internal/daemon/crowds_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -106,13 +107,14 @@
 // bodies of 4 MB, most of them without an end.
 func TestCrowdsOfCallersEndNoProcess(t *testing.T) {
 	binary := crowd.Build(t)
-	for _, kind := range crowd.Kinds {
+	for _, kind := range append(slices.Clone(crowd.Kinds), crowd.Messages) {
 		t.Run(string(kind), func(t *testing.T) {
 			p, listen := startCrowdDaemon(t, binary)
 			fields := " HTTP/1.1\r\nHost: " + listen + "\r\nAuthorization: Bearer " + crowdKey + "\r\n"
 			crowd.Check(t, p, crowd.Plan{
 				Kind: kind, Callers: crowd.Callers, Address: listen, Body: int64(crowd.BodyMB) << 20, Header: crowdHeader,
 				Head: "POST /stock" + fields, Long: "GET /stock/long" + fields,
+				Chat: "POST /v1/chat/completions" + fields,
 			})
 		})
 	}
--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -26,9 +26,10 @@
 	FarOverSent      Kind = "far over the limit, just sent"
 	SlowReaders      Kind = "slow readers"
 	HalfHeads        Kind = "half heads"
+	Messages         Kind = "prompts of many messages" // whole, on a route of models
 )
 
-// Kinds lists all kinds.
+// Kinds lists the kinds that call any route.
 var Kinds = []Kind{Length, OneChunk, TinyChunks, FarOverAnnounced, FarOverSent, SlowReaders, HalfHeads}
 
 const (
@@ -48,6 +49,7 @@
 	Address string // of the process, as host:port
 	Head    string // request line and fields, without an end; of a request with a body
 	Long    string // the same of a request without a body whose answer is long
+	Chat    string // as Head, of a model request with messages
 	Body    int64  // largest legal body, in bytes
 	Header  int64  // largest legal head, in bytes
 }
@@ -113,9 +115,22 @@
 		s.send("%s\r\n", p.Long)
 	case HalfHeads:
 		s.send("%sX-Long: %s", p.Head, strings.Repeat("x", int(p.Header)-len(p.Head)-len("X-Long: ")))
+	case Messages:
+		s.send("%sContent-Length: %d\r\n\r\n", p.Chat, p.Body)
+		s.repeat(messages(p.Body), p.Body)
 	}
 }
 
+// messages returns the body of a model request with as many messages as n bytes hold.
+func messages(n int64) []byte {
+	const first, last = `{"model":"m","messages":[{}`, "]}"
+	all := first + repeated(",{}", int(n)-len(first)-len(last)) + last
+	return append([]byte(all), bytes.Repeat([]byte(" "), int(n)-len(all))...)
+}
+
+// repeated returns as many copies of s as n bytes hold.
+func repeated(s string, n int) string { return strings.Repeat(s, n/len(s)) }
+
 // last returns the number of bytes that a caller sends of a body of n.
 func last(n int64, complete bool) int64 {
 	if complete {
--- a/internal/prompt/request.go
+++ b/internal/prompt/request.go
@@ -1,7 +1,9 @@
 package prompt
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 )
@@ -24,7 +26,7 @@
 type wireRequest struct {
 	Model               string          `json:"model"`
 	Prompt              json.RawMessage `json:"prompt"`
-	Messages            []wireMessage   `json:"messages"`
+	Messages            messages        `json:"messages"`
 	Stream              bool            `json:"stream"`
 	MaxTokens           int             `json:"max_tokens"`
 	MaxCompletionTokens int             `json:"max_completion_tokens"`
@@ -56,66 +58,121 @@
 	if err != nil {
 		return nil, err
 	}
-	r.Text = []byte(text)
+	r.Text = text
 	return r, nil
 }
 
-func (w *wireRequest) text(path string) (string, error) {
+func (w *wireRequest) text(path string) ([]byte, error) {
 	if path == PathCompletions {
 		if w.Prompt == nil {
-			return "", fmt.Errorf("field %q is missing", "prompt")
+			return nil, fmt.Errorf("field %q is missing", "prompt")
 		}
 		return promptText(w.Prompt)
 	}
-	if len(w.Messages) == 0 {
-		return "", fmt.Errorf("field %q is missing or empty", "messages")
+	if w.Messages.count == 0 {
+		return nil, fmt.Errorf("field %q is missing or empty", "messages")
 	}
-	var b strings.Builder
-	for i, m := range w.Messages {
-		content, err := contentText(m.Content)
-		if err != nil {
-			return "", fmt.Errorf("messages[%d].content: %w", i, err)
+	return w.Messages.text.Bytes(), w.Messages.err
+}
+
+// messages is the text of a list of messages. They are decoded one at a time: a list of
+// many small ones would take a multiple of the memory of its JSON.
+type messages struct {
+	text  bytes.Buffer
+	count int
+	err   error // of the first message whose content has no text
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *messages) UnmarshalJSON(raw []byte) error {
+	*m = messages{}
+	return eachElement(raw, func(w wireMessage) error {
+		m.add(w)
+		return nil
+	})
+}
+
+// add appends the text of one message.
+func (m *messages) add(w wireMessage) {
+	m.text.WriteString(w.Role)
+	m.text.WriteByte('\n')
+	if err := appendContent(&m.text, w.Content); err != nil && m.err == nil {
+		m.err = fmt.Errorf("messages[%d].content: %w", m.count, err)
+	}
+	m.text.WriteByte('\n')
+	m.count++
+}
+
+// errNotList is the error of eachElement for a value that is no list.
+var errNotList = errors.New("expected a list")
+
+// eachElement calls f with the elements of a JSON list, or not at all for null, until f
+// fails.
+func eachElement[T any](raw []byte, f func(T) error) error {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	switch first, err := d.Token(); {
+	case err != nil || first == nil:
+		return err
+	case first != json.Delim('['):
+		return errNotList
+	}
+	for d.More() {
+		var element T
+		if err := d.Decode(&element); err != nil {
+			return err
+		}
+		if err := f(element); err != nil {
+			return err
 		}
-		b.WriteString(m.Role)
-		b.WriteByte('\n')
-		b.WriteString(content)
-		b.WriteByte('\n')
 	}
-	return b.String(), nil
+	return nil
 }
 
-func promptText(raw json.RawMessage) (string, error) {
+// errNotOneString is the error of a prompt that is no string.
+var errNotOneString = fmt.Errorf("field %q must be a string or a list of one string", "prompt")
+
+func promptText(raw json.RawMessage) ([]byte, error) {
 	var one string
 	if json.Unmarshal(raw, &one) == nil {
-		return one, nil
+		return []byte(one), nil
 	}
-	var many []string
-	if json.Unmarshal(raw, &many) == nil && len(many) == 1 {
-		return many[0], nil
+	count := 0
+	err := eachElement(raw, func(s string) error {
+		one = s
+		if count++; count > 1 {
+			return errNotOneString
+		}
+		return nil
+	})
+	if err != nil || count != 1 {
+		return nil, errNotOneString
 	}
-	return "", fmt.Errorf("field %q must be a string or a list of one string", "prompt")
+	return []byte(one), nil
 }
 
-func contentText(raw json.RawMessage) (string, error) {
+// appendContent appends the text of a message's content.
+func appendContent(text *bytes.Buffer, raw json.RawMessage) error {
 	if len(raw) == 0 || string(raw) == "null" {
-		return "", nil
+		return nil
 	}
 	var one string
 	if json.Unmarshal(raw, &one) == nil {
-		return one, nil
-	}
-	var parts []wirePart
-	if err := json.Unmarshal(raw, &parts); err != nil {
-		return "", fmt.Errorf("must be a string or a list of parts")
+		text.WriteString(one)
+		return nil
 	}
-	var b strings.Builder
-	for _, p := range parts {
+	var unsupported error
+	err := eachElement(raw, func(p wirePart) error {
 		if p.Type != "text" {
-			return "", fmt.Errorf("part type %q is not supported, expected %q", p.Type, "text")
+			unsupported = fmt.Errorf("part type %q is not supported, expected %q", p.Type, "text")
+			return unsupported
 		}
-		b.WriteString(p.Text)
+		text.WriteString(p.Text)
+		return nil
+	})
+	if err != nil && unsupported == nil {
+		return fmt.Errorf("must be a string or a list of parts")
 	}
-	return b.String(), nil
+	return unsupported
 }
 
 // New returns the prompt of r in scope, split into pieces of pieceTokens estimated
