--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -73,6 +73,8 @@
 				ReadTimeout: adminTimeout, WriteTimeout: adminTimeout}
 		},
 		Handler: d.adminMux(),
+		Memory:  d.memory,
+		Record:  d.recorder.Record,
 	})
 	return err
 }
--- a/internal/daemon/crowds_test.go
+++ b/internal/daemon/crowds_test.go
@@ -61,23 +61,35 @@
 	return l.Addr().String()
 }
 
-// startCrowdDaemon starts a daemon process on a machine with little memory and returns
-// its address for callers.
-func startCrowdDaemon(t *testing.T, binary string) (*crowd.Process, string) {
+// crowdDaemon is a daemon process on a machine with little memory, and what a crowd needs
+// to call it.
+type crowdDaemon struct {
+	*crowd.Process
+	plan  crowd.Plan
+	admin string // address of its admin listener
+}
+
+// startCrowdDaemon starts a daemon process with one plain service.
+func startCrowdDaemon(t *testing.T, binary string) crowdDaemon {
 	t.Helper()
 	log := httptest.NewServer(fakelog.New())
 	t.Cleanup(log.Close)
-	listen := crowdAddress(t)
+	listen, admin := crowdAddress(t), crowdAddress(t)
 	file := filepath.Join(t.TempDir(), "settings.toml")
 	text := fmt.Sprintf("vm = \"vm-1\"\ndata_centre = \"d\"\nsite = \"s\"\nlisten = %q\npeer_listen = %q\nadmin_listen = %q\n"+
 		"log_level = \"error\"\n[platform]\nlog = %q\n[limits]\nmemory_mb = %d\n",
-		listen, crowdAddress(t), crowdAddress(t), log.URL, crowd.MemoryMB)
+		listen, crowdAddress(t), admin, log.URL, crowd.MemoryMB)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	p := crowd.Start(t, nil, binary, "--settings", file)
 	publishForCrowd(t, log.URL)
-	return p, listen
+	fields := " HTTP/1.1\r\nHost: " + listen + "\r\nAuthorization: Bearer " + crowdKey + "\r\n"
+	return crowdDaemon{p, crowd.Plan{
+		Callers: crowd.Callers, Address: listen, Body: int64(crowd.BodyMB) << 20, Header: crowdHeader,
+		Head: "POST /stock" + fields, Long: "GET /stock/long" + fields,
+		Chat: "POST /v1/chat/completions" + fields,
+	}, admin}
 }
 
 // publishForCrowd publishes a configuration with one plain service.
@@ -109,13 +121,21 @@
 	binary := crowd.Build(t)
 	for _, kind := range append(slices.Clone(crowd.Kinds), crowd.Messages) {
 		t.Run(string(kind), func(t *testing.T) {
-			p, listen := startCrowdDaemon(t, binary)
-			fields := " HTTP/1.1\r\nHost: " + listen + "\r\nAuthorization: Bearer " + crowdKey + "\r\n"
-			crowd.Check(t, p, crowd.Plan{
-				Kind: kind, Callers: crowd.Callers, Address: listen, Body: int64(crowd.BodyMB) << 20, Header: crowdHeader,
-				Head: "POST /stock" + fields, Long: "GET /stock/long" + fields,
-				Chat: "POST /v1/chat/completions" + fields,
-			})
+			d := startCrowdDaemon(t, binary)
+			d.plan.Kind = kind
+			crowd.Check(t, d.Process, d.plan)
+		})
+	}
+}
+
+// Guards against crowds at the admin listener, whose callers' memory wasn't accounted for.
+func TestCrowdsAtTheAdminListenerEndNoProcess(t *testing.T) {
+	binary := crowd.Build(t)
+	for _, kind := range []crowd.Kind{crowd.Length, crowd.TinyChunks} {
+		t.Run(string(kind), func(t *testing.T) {
+			d := startCrowdDaemon(t, binary)
+			d.plan.Kind, d.plan.Target = kind, d.admin
+			crowd.Check(t, d.Process, d.plan)
 		})
 	}
 }
--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -57,6 +58,7 @@
 	Head    string // request line and fields, without an end; of a request with a body
 	Long    string // the same of a request without a body whose answer is long
 	Chat    string // as Head, of a model request with messages
+	Target  string // host:port of the listener that the crowd calls; empty: Address
 	Body    int64  // largest legal body, in bytes
 	Header  int64  // largest legal head, in bytes
 }
@@ -93,7 +95,7 @@
 
 // call opens a connection, sends what the plan says and leaves it open.
 func (c *Crowd) call(p Plan, complete bool) {
-	conn, err := net.DialTimeout("tcp", p.Address, callPatience)
+	conn, err := net.DialTimeout("tcp", cmp.Or(p.Target, p.Address), callPatience)
 	if err != nil {
 		return
 	}
