Remove the fields that announce a body in one pass over a head

What callers saw: none yet; found by reading, while looking for heads that cost more than their size.

Cause: each field that announces a body or a trailer was removed from a copy of the whole head, so a legal head full of them cost the square of its size in processor time and garbage. Fields that make a request ambiguous were removed too, before it was refused.

Change: the head for nbhttp's parser is built line by line from those that stay.

--- a/internal/server/head.go
+++ b/internal/server/head.go
@@ -75,12 +75,13 @@
 // parseFields checks the lines of a head. A field must begin with a name right
 // before a colon and end with its line.
 func parseFields(raw []byte) (*fields, *refusal.Error) {
-	f := &fields{withoutBody: raw}
-	lines := bytes.TrimSuffix(raw, []byte("\r\n\r\n"))
+	f := &fields{withoutBody: make([]byte, 0, len(raw))}
+	lines := bytes.TrimSuffix(raw, endOfHead)
 	requestLine, lines, _ := bytes.Cut(lines, lineEnd)
 	if bytes.ContainsAny(requestLine, "\r\n\t") {
 		return nil, malformed("its request line")
 	}
+	f.keep(requestLine)
 	for len(lines) > 0 {
 		var line []byte
 		line, lines, _ = bytes.Cut(lines, lineEnd)
@@ -88,30 +89,34 @@
 		if !ok || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
 			return nil, malformed("a header field")
 		}
-		f.count(string(name), line)
+		if !f.count(string(name)) {
+			f.keep(line)
+		}
 	}
+	f.withoutBody = append(f.withoutBody, lineEnd...)
 	return f, nil
 }
 
-// count adds one field, whose line is given.
-func (f *fields) count(name string, line []byte) {
+// count counts one field and reports whether it announces a body or a trailer: nbhttp's
+// parser would wait for the body, which conn reads, or for the trailer.
+func (f *fields) count(name string) (announces bool) {
 	switch http.CanonicalHeaderKey(name) {
 	case "Host":
 		f.hosts++
+		return false
 	case "Content-Length":
 		f.lengths++
-		f.drop(line)
 	case "Transfer-Encoding":
 		f.codings++
-		f.drop(line)
 	case "Trailer":
-		f.drop(line)
+	default:
+		return false
 	}
+	return true
 }
 
-// drop removes a line from the head that nbhttp's parser gets: it would wait for the body,
-// which conn reads, or for a trailer.
-func (f *fields) drop(line []byte) {
-	whole := slices.Concat(lineEnd, line, lineEnd)
-	f.withoutBody = bytes.Replace(f.withoutBody, whole, lineEnd, 1)
+// keep adds a line to the head that nbhttp's parser gets.
+func (f *fields) keep(line []byte) {
+	f.withoutBody = append(f.withoutBody, line...)
+	f.withoutBody = append(f.withoutBody, lineEnd...)
 }
--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -172,6 +173,39 @@
 	}
 }
 
+// Guards against heads whose reading costs the square of their size: each field that
+// announces a trailer was removed from a copy of the whole head.
+func TestHeadsCostTheirSize(t *testing.T) {
+	const size, factor = 64 << 10, 64
+	limits := func() server.Limits {
+		l := slowLimits()
+		l.MaxHeader = 2 * size
+		return l
+	}
+	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: limits,
+		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	for field, want := range map[string]int{
+		"Trailer: a\r\n":           http.StatusOK,
+		"Content-Length: 0\r\n":    http.StatusBadRequest,
+		"Transfer-Encoding: a\r\n": http.StatusBadRequest,
+	} {
+		c := dial(t, s.Address())
+		head := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat(field, size/len(field)) + "\r\n"
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, _ = io.WriteString(c, head)
+		got, _ := statusOf(c)
+		runtime.ReadMemStats(&after)
+		if allocated := after.TotalAlloc - before.TotalAlloc; got != want || allocated > factor*size {
+			t.Errorf("%q: status %d, %d bytes allocated", field, got, allocated)
+		}
+	}
+}
+
 // BenchmarkRequest measures a small request and its answer over a kept connection.
 func BenchmarkRequest(b *testing.B) {
 	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: slowLimits,
