Let a new connection wait for memory as a request does

What callers saw: beside a crowd that has taken all memory, reserve included, an ordinary caller with a new connection got 503 at once, though others were being ended for it.

Cause: what a connection takes was held when it was accepted, where nothing may wait: the attempt began to end a caller that had stopped, and refused the new one all the same. Requests wait for up to 1 s.

Evidence: TestNewConnectionsWaitForRoom failed 3 of 3 before ("status 503 with 417799 bytes held", of 1 MB: the one that had stopped was gone), passes 3 of 3 now.

Change: the connection's goroutine holds the memory before it reads.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -69,6 +69,7 @@
 	refused   *refusal.Error // with which all requests are refused; nil: they are served
 
 	held      *memory.Holding
+	opened    bool                          // held has what the connection takes
 	headBytes int64                         // of held, for the head
 	exhausted atomic.Pointer[memory.Reason] // why the caller is ended for its memory; nil: it isn't
 
@@ -154,6 +155,9 @@
 	if c.refused != nil {
 		return c.reject(c.refused)
 	}
+	if err := c.holdConnection(); err != nil {
+		return c.refuse(err)
+	}
 	if err := c.awaitRequest(); err != nil {
 		return err
 	}
--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -85,6 +85,33 @@
 	}
 }
 
+// Guards against new connections that are refused at once while others are being ended
+// for them.
+func TestNewConnectionsWaitForRoom(t *testing.T) {
+	s, a := startAccounted(t, func(http.ResponseWriter, *http.Request) {}, nil)
+	for _, body := range []int{600 << 10, 40 << 10, 40 << 10, 40 << 10, 40 << 10, 40 << 10, 40 << 10, 40 << 10} {
+		before := a.Used()
+		post(dial(t, s.Address()), body+1, body)
+		eventually(t, "the body is held", func() bool { return a.Used() >= before+int64(body) })
+	}
+	time.Sleep(time.Second) // longer than a caller may be silent when memory is short
+	c := dial(t, s.Address())
+	post(c, 1, 1)
+	if got, _ := statusOf(c); got != http.StatusOK {
+		t.Errorf("status %d with %d bytes held", got, a.Used())
+	}
+}
+
+// eventually waits until f holds.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !f(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 5s: %s", what)
+		}
+	}
+}
+
 // Guards against announcements that keep others out.
 func TestAnnouncedBodiesTakeNoMemory(t *testing.T) {
 	s, a := startAccounted(t, func(http.ResponseWriter, *http.Request) {}, nil)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -190,8 +190,6 @@
 	limit := min(s.opts.Limits().MaxConnections, s.descriptors)
 	if open := s.openConns.Add(1); open > int64(limit) && !s.makeRoom(int(open)-limit, limit) {
 		c.refused = refusal.New(refusal.TooManyConnections, "too many connections are open")
-	} else if !c.held.Grow(connectionBytes, freshness.Time()) {
-		c.refused = errNoMemory()
 	}
 }
 
