Cut what a refusal repeats of a request

What callers saw: none yet; found by a crowd of ours. In the own mode a single legal body of 4 MB, a prompt for a model whose name fills it, got a refusal of 19 MB that repeats the name, quoted, and took the process from some 25 to 107 MB.

Cause: messages of refusals quote what callers sent in full. It is quoted, encoded as JSON, logged and written, one copy each, and none of them is accounted for.

--- a/internal/daemon/crowds_test.go
+++ b/internal/daemon/crowds_test.go
@@ -119,7 +119,7 @@
 // bodies of 4 MB, most of them without an end.
 func TestCrowdsOfCallersEndNoProcess(t *testing.T) {
 	binary := crowd.Build(t)
-	for _, kind := range append(slices.Clone(crowd.Kinds), crowd.Messages) {
+	for _, kind := range append(slices.Clone(crowd.Kinds), crowd.Messages, crowd.LongModel) {
 		t.Run(string(kind), func(t *testing.T) {
 			d := startCrowdDaemon(t, binary)
 			d.plan.Kind = kind
--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -29,7 +29,8 @@
 	SlowReaders      Kind = "slow readers"
 	HalfHeads        Kind = "half heads"
 	ManyFields       Kind = "many header fields"
-	Messages         Kind = "prompts of many messages" // whole, on a route of models
+	LongModel        Kind = "prompts with a long name of a model" // whole, on a route of models
+	Messages         Kind = "prompts of many messages"            // whole, on a route of models
 )
 
 // Kinds lists the kinds that call any route.
@@ -132,8 +133,9 @@
 		s.send("%sContent-Length: %d\r\n%s\r\n", p.Head, shortBody, shortFields(min(p.Header, manyFieldsHead)-int64(len(p.Head))-endSpace))
 		s.fill(last(shortBody, complete))
 	case Messages:
-		s.send("%sContent-Length: %d\r\n\r\n", p.Chat, p.Body)
-		s.repeat(messages(p.Body), p.Body)
+		s.whole(p.Chat, messages(p.Body))
+	case LongModel:
+		s.whole(p.Chat, longModel(p.Body))
 	}
 }
 
@@ -149,6 +151,19 @@
 	}
 }
 
+// whole sends a whole request.
+func (s sender) whole(head string, body []byte) {
+	s.send("%sContent-Length: %d\r\n\r\n", head, len(body))
+	s.repeat(body, int64(len(body)))
+}
+
+// longModel returns the body of a model request, of n bytes, for a model with a name that
+// is longer when it is quoted.
+func longModel(n int64) []byte {
+	const first, last = `{"messages":[{}],"model":"`, `"}`
+	return []byte(first + repeated("\x7f", int(n)-len(first)-len(last)) + last)
+}
+
 // messages returns the body of a model request with as many messages as n bytes hold.
 func messages(n int64) []byte {
 	const first, last = `{"model":"m","messages":[{}`, "]}"
--- a/internal/prompt/request.go
+++ b/internal/prompt/request.go
@@ -163,7 +163,7 @@
 	var unsupported error
 	err := eachElement(raw, func(p wirePart) error {
 		if p.Type != "text" {
-			unsupported = fmt.Errorf("part type %q is not supported, expected %q", p.Type, "text")
+			unsupported = fmt.Errorf("part type %.64q is not supported, expected %q", p.Type, "text")
 			return unsupported
 		}
 		text.WriteString(p.Text)
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -101,14 +101,15 @@
 	Err        error
 }
 
-// New returns a refusal of a request that did not run.
+// New returns a refusal of a request that did not run. Long texts among args are cut.
 func New(code Code, format string, args ...any) *Error {
-	return &Error{Code: code, Effect: NotRun, Message: fmt.Sprintf(format, args...)}
+	return &Error{Code: code, Effect: NotRun, Message: message(format, args...)}
 }
 
-// NewUnknown returns a refusal of a request that may have run.
+// NewUnknown returns a refusal of a request that may have run. Long texts among args are
+// cut.
 func NewUnknown(code Code, cause error, format string, args ...any) *Error {
-	return &Error{Code: code, Effect: Unknown, Message: fmt.Sprintf(format, args...), Err: cause}
+	return &Error{Code: code, Effect: Unknown, Message: message(format, args...), Err: cause}
 }
 
 // WithRetryAfter sets the time after which the caller may retry, and returns e.
