Account for TLS handshakes, and bound them

What callers saw: none yet; found by a crowd of ours. In the own mode with TLS, 1,000 callers that send the first message of a handshake but for its last byte took a process to 142 MB (3,000 to 375 MB; a configuration allows 4,096 connections by default).

Cause: a connection counted 16 KB. crypto/tls takes up to 64 KB of a first message and collects it in a buffer that doubles: some 115 KB each. Nor did a handshake have a deadline but that of idle connections.

Change: the handshake is completed before the first request is awaited, within the time for a request; 48 KB more are held until then, and a caller may send 16 KB in it. A caller that gets no memory for its handshake within 1 s is closed without an answer; over the limit of connections it is refused as before. The certificate that tests make moved to a package, as two need it.

--- a/internal/daemon/crowds_test.go
+++ b/internal/daemon/crowds_test.go
@@ -19,6 +19,7 @@
 	"currantpulley/internal/backing/httplog"
 	"currantpulley/internal/config"
 	"currantpulley/internal/control/publish"
+	"currantpulley/internal/fake/certificate"
 	"currantpulley/internal/fake/crowd"
 	"currantpulley/internal/fake/fakelog"
 )
@@ -69,8 +70,8 @@
 	admin string // address of its admin listener
 }
 
-// startCrowdDaemon starts a daemon process with one plain service.
-func startCrowdDaemon(t *testing.T, binary string) crowdDaemon {
+// startCrowdDaemon starts a daemon process with one plain service. more are settings to add.
+func startCrowdDaemon(t *testing.T, binary, more string) crowdDaemon {
 	t.Helper()
 	log := httptest.NewServer(fakelog.New())
 	t.Cleanup(log.Close)
@@ -78,7 +79,7 @@
 	file := filepath.Join(t.TempDir(), "settings.toml")
 	text := fmt.Sprintf("vm = \"vm-1\"\ndata_centre = \"d\"\nsite = \"s\"\nlisten = %q\npeer_listen = %q\nadmin_listen = %q\n"+
 		"log_level = \"error\"\n[platform]\nlog = %q\n[limits]\nmemory_mb = %d\n",
-		listen, crowdAddress(t), admin, log.URL, crowd.MemoryMB)
+		listen, crowdAddress(t), admin, log.URL, crowd.MemoryMB) + more
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -121,19 +122,33 @@
 	binary := crowd.Build(t)
 	for _, kind := range append(slices.Clone(crowd.Kinds), crowd.Messages, crowd.LongModel) {
 		t.Run(string(kind), func(t *testing.T) {
-			d := startCrowdDaemon(t, binary)
+			d := startCrowdDaemon(t, binary, "")
 			d.plan.Kind = kind
 			crowd.Check(t, d.Process, d.plan)
 		})
 	}
 }
 
+// Guards against callers over TLS that end a process: the first message of a handshake,
+// without its end, wasn't accounted for.
+func TestCrowdsOverTLSEndNoProcess(t *testing.T) {
+	binary := crowd.Build(t)
+	cert, key := certificate.Write(t)
+	for _, kind := range []crowd.Kind{crowd.HalfHandshakes, crowd.Length, crowd.TinyChunks} {
+		t.Run(string(kind), func(t *testing.T) {
+			d := startCrowdDaemon(t, binary, fmt.Sprintf("[tls]\ncert = %q\nkey = %q\n", cert, key))
+			d.plan.Kind, d.plan.TLS = kind, true
+			crowd.Check(t, d.Process, d.plan)
+		})
+	}
+}
+
 // Guards against crowds at the admin listener, whose callers' memory wasn't accounted for.
 func TestCrowdsAtTheAdminListenerEndNoProcess(t *testing.T) {
 	binary := crowd.Build(t)
 	for _, kind := range []crowd.Kind{crowd.Length, crowd.TinyChunks} {
 		t.Run(string(kind), func(t *testing.T) {
-			d := startCrowdDaemon(t, binary)
+			d := startCrowdDaemon(t, binary, "")
 			d.plan.Kind, d.plan.Target = kind, d.admin
 			crowd.Check(t, d.Process, d.plan)
 		})
--- a/internal/fake/crowd/check.go
+++ b/internal/fake/crowd/check.go
@@ -35,8 +35,8 @@
 // another one afterwards, and gives its descriptors back.
 func Check(t *testing.T, p *Process, plan Plan) {
 	t.Helper()
-	eventually(t, "answered before", func() bool { return Ask(plan.Address, plan.Head, 1) == http.StatusOK })
-	if got := Ask(plan.Address, plan.Head, plan.Body); got != http.StatusOK {
+	eventually(t, "answered before", func() bool { return plan.Ask(1) == http.StatusOK })
+	if got := plan.Ask(plan.Body); got != http.StatusOK {
 		t.Errorf("status %d for a request of legal size in calm", got)
 	}
 	before, err := p.Descriptors()
@@ -46,9 +46,9 @@
 	c := Gather(plan)
 	defer c.Close()
 	time.Sleep(holdTime)
-	eventually(t, "answered beside the crowd", func() bool { return Ask(plan.Address, plan.Head, 1) == http.StatusOK })
+	eventually(t, "answered beside the crowd", func() bool { return plan.Ask(1) == http.StatusOK })
 	c.Close()
-	eventually(t, "answered after the crowd", func() bool { return Ask(plan.Address, plan.Head, 1) == http.StatusOK })
+	eventually(t, "answered after the crowd", func() bool { return plan.Ask(1) == http.StatusOK })
 	eventually(t, "descriptors given back", func() bool {
 		n, err := p.Descriptors()
 		return err == nil && n <= before+spareDescriptors
--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -6,10 +6,13 @@
 	"bufio"
 	"bytes"
 	"cmp"
+	"crypto/tls"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +32,7 @@
 	SlowReaders      Kind = "slow readers"
 	HalfHeads        Kind = "half heads"
 	ManyFields       Kind = "many header fields"
+	HalfHandshakes   Kind = "half handshakes"                     // of TLS
 	LongModel        Kind = "prompts with a long name of a model" // whole, on a route of models
 	Messages         Kind = "prompts of many messages"            // whole, on a route of models
 )
@@ -44,9 +48,12 @@
 	endSpace     = 64 // bytes of a head for the field with the length, and its end
 
 	manyFieldsCallers = 300
-	manyFieldsHead    = 64 << 10 // bytes
-	largeChunk        = 1 << 20  // bytes
-	sendStep          = 64 << 10 // bytes written at once
+	handshakeCallers  = 1000
+	maxRecord         = 1 << 14   // bytes of a record of TLS
+	handshakeBytes    = 1<<16 - 1 // of a first message
+	manyFieldsHead    = 64 << 10  // bytes
+	largeChunk        = 1 << 20   // bytes
+	sendStep          = 64 << 10  // bytes written at once
 	sendPatience      = 4 * time.Second
 	callPatience      = 5 * time.Second
 )
@@ -62,6 +69,7 @@
 	Target  string // host:port of the listener that the crowd calls; empty: Address
 	Body    int64  // largest legal body, in bytes
 	Header  int64  // largest legal head, in bytes
+	TLS     bool   // requests are sent over TLS
 }
 
 // Crowd is the open connections of its callers.
@@ -74,17 +82,24 @@
 func Gather(p Plan) *Crowd {
 	c := &Crowd{}
 	var wg sync.WaitGroup
-	callers := p.Callers
-	if p.Kind == ManyFields {
-		callers = max(callers, manyFieldsCallers) // each holds little
-	}
-	for i := range callers {
+	for i := range p.callers() {
 		wg.Go(func() { c.call(p, i%completeEach == completeEach-1) })
 	}
 	wg.Wait()
 	return c
 }
 
+// callers returns the number of callers. There are more where each holds little.
+func (p Plan) callers() int {
+	switch p.Kind {
+	case ManyFields:
+		return max(p.Callers, manyFieldsCallers)
+	case HalfHandshakes:
+		return max(p.Callers, handshakeCallers)
+	}
+	return p.Callers
+}
+
 // Close closes all connections.
 func (c *Crowd) Close() {
 	c.mu.Lock()
@@ -107,7 +122,12 @@
 		_ = conn.(*net.TCPConn).SetReadBuffer(sendStep)
 	}
 	s := sender{conn}
+	if p.TLS && p.Kind != HalfHandshakes {
+		s = sender{tls.Client(conn, tlsConfig)}
+	}
 	switch p.Kind {
+	case HalfHandshakes:
+		s.fillHandshake()
 	case Length:
 		s.send("%sContent-Length: %d\r\n\r\n", p.Head, p.Body)
 		s.fill(last(p.Body, complete))
@@ -139,6 +159,19 @@
 	}
 }
 
+// tlsConfig accepts any certificate.
+var tlsConfig = &tls.Config{InsecureSkipVerify: true} //nolint:gosec // of the process under test
+
+// fillHandshake sends the first message of a handshake without its last byte.
+func (s sender) fillHandshake() {
+	const typeHandshake, clientHello = 22, 1
+	message := make([]byte, handshakeBytes)
+	copy(message, []byte{clientHello, 0, handshakeBytes >> 8, handshakeBytes & 0xff})
+	for part := range slices.Chunk(message, maxRecord) {
+		s.send("%c\x03\x01%s%s", typeHandshake, binary.BigEndian.AppendUint16(nil, uint16(len(part))), part)
+	}
+}
+
 // shortFields returns header fields with short names, all different, of at most n bytes.
 func shortFields(n int64) string {
 	var b strings.Builder
@@ -223,15 +256,18 @@
 
 // Ask sends one request with a body of n bytes over a connection of its own and returns
 // the status of the whole answer, 0 if there was none.
-func Ask(address, head string, n int64) int {
-	conn, err := net.DialTimeout("tcp", address, callPatience)
+func (p Plan) Ask(n int64) int {
+	conn, err := net.DialTimeout("tcp", p.Address, callPatience)
 	if err != nil {
 		return 0
 	}
+	if p.TLS {
+		conn = tls.Client(conn, tlsConfig)
+	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(callPatience))
 	go func() { // an answer may come before the request's end
-		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", head, n)
+		_, _ = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n", p.Head, n)
 		_, _ = io.CopyN(conn, endless{}, n)
 	}()
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -68,8 +67,10 @@
 	readError error          // of the read ahead, or of a body
 	refused   *refusal.Error // with which all requests are refused; nil: they are served
 
+	opened    bool             // see open
+	handshake *handshakeReader // nil: no TLS
+
 	held      *memory.Holding
-	opened    bool                          // held has what the connection takes
 	headBytes int64                         // of held, for the head
 	exhausted atomic.Pointer[memory.Reason] // why the caller is ended for its memory; nil: it isn't
 
@@ -87,7 +88,7 @@
 func newConn(s *Server, outer *nbhttp.Conn, tcp *net.TCPConn) *conn {
 	c := &conn{server: s, nbConn: outer, tcp: tcp, Conn: tcp}
 	if s.opts.TLS != nil {
-		c.Conn = tls.Server(tcp, s.opts.TLS)
+		c.secure(s.opts.TLS)
 	}
 	c.in = bufio.NewReaderSize(c.Conn, readBuffer)
 	c.held = s.opts.Memory.Open(freshness.Time(), c.exhaust)
@@ -152,12 +153,12 @@
 	if c.readError != nil {
 		return c.readError
 	}
+	if err := c.open(); err != nil {
+		return err
+	}
 	if c.refused != nil {
 		return c.reject(c.refused)
 	}
-	if err := c.holdConnection(); err != nil {
-		return c.refuse(err)
-	}
 	if err := c.awaitRequest(); err != nil {
 		return err
 	}
--- a/internal/server/exhaust.go
+++ b/internal/server/exhaust.go
@@ -51,15 +51,6 @@
 	return nil
 }
 
-// holdConnection holds memory for the connection itself, once.
-func (c *conn) holdConnection() error {
-	if c.opened {
-		return nil
-	}
-	c.opened = true
-	return c.hold(connectionBytes)
-}
-
 // holdHead holds memory for a head in a buffer of n bytes.
 func (c *conn) holdHead(n int64) error {
 	c.progress()
