Send what goes through a tunnel in parts

What callers saw: none yet; found by reading what grows with callers and isn't counted. A daemon that reaches its upstreams only through others, and the daemons that carry its connections, held several copies of each body that an upstream was slow to read.

Cause: net/http writes a body in one call, and a tunnel sent it as one message: the sender keeps the encoded copy, the carrier assembles the whole message before it passes a byte on, and decodes a copy of it. None of it is accounted for, and a message of more than 16 MB would be refused.

Evidence: TestConnectionsHoldAWindowEach (20 connections with 8 MB each to an upstream that doesn't read, both ends in one process, 1 MB of a window and 0.25 MB more allowed for each) failed before, 3 of 3: 430 to 460 MB held. Now 16 to 24 MB.

Change: messages of 16 KB, as in the other direction, so that flow control applies. The window of 1 MB for each carried connection stays, and isn't accounted for at the carrier (docs/design/memory-account.md, Not covered).

--- a/internal/control/tunnel/conn.go
+++ b/internal/control/tunnel/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -56,12 +57,16 @@
 	return fmt.Errorf("tunnel through %s: %w", c.vm, err)
 }
 
-// Write implements io.Writer.
-func (c *Conn) Write(p []byte) (int, error) {
-	if err := c.stream.Send(&tunnelpb.ToUpstream{Data: p}); err != nil {
-		return 0, fmt.Errorf("tunnel through %s: %w", c.vm, net.ErrClosed) // the read has the cause
+// Write implements io.Writer. It sends p in parts, as both ends hold copies of a message
+// until it is passed on.
+func (c *Conn) Write(p []byte) (written int, err error) {
+	for part := range slices.Chunk(p, bufferBytes) {
+		if err := c.stream.Send(&tunnelpb.ToUpstream{Data: part}); err != nil {
+			return written, fmt.Errorf("tunnel through %s: %w", c.vm, net.ErrClosed) // the read has the cause
+		}
+		written += len(part)
 	}
-	return len(p), nil
+	return written, nil
 }
 
 // Close implements io.Closer.
--- a/internal/control/tunnel/tunnel_test.go
+++ b/internal/control/tunnel/tunnel_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -346,3 +347,41 @@
 		t.Errorf("%q, %v", echo, err)
 	}
 }
+
+// Guards against large bodies of which both daemons hold copies while the upstream doesn't
+// read: at both ends together, each connection holds no more than the window of a stream.
+func TestConnectionsHoldAWindowEach(t *testing.T) {
+	const (
+		conns  = 20
+		body   = 8 << 20
+		window = 1 << 20 // bytes on the way that the upstream hasn't read
+		rest   = 1 << 18 // bytes of other buffers
+	)
+	c, _ := newTestClient(t, startCarrier(t, "b1", "b", anyAddress))
+	deaf := listenFor(t, func(c *net.TCPConn) { t.Cleanup(func() { _ = c.Close() }) })
+	large := bytes.Repeat([]byte("x"), body)
+	before := liveHeap()
+	for range conns {
+		conn, err := dial(t, c, deaf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		go func() { _, _ = conn.Write(large) }()
+	}
+	peak := before
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		peak = max(peak, liveHeap())
+	}
+	if held := peak - before; held > conns*(window+rest) {
+		t.Errorf("%d connections hold %d bytes", conns, held)
+	}
+}
+
+// liveHeap returns the size of what the process uses of its heap.
+func liveHeap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
