Keep descriptors for upstreams when crowds open connections

What callers saw: none yet; found by a crowd of ours. 512 callers at one listener of a process that may open 512 descriptors took all of them, so that no connection to an upstream could be opened; those of probes and metrics took a share of their own.

Change: above the limit 5 in 100 are served while others end, as many more, 16 at least, wait for their refusal, the rest are closed at once.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -20,7 +20,7 @@
 const (
 	adminMaxBody   = 64 << 20 // bytes; a request to explain is sent as the body
 	adminMaxHeader = 64 << 10 // bytes
-	adminMaxConns  = 256
+	adminMaxConns  = 64       // of those descriptors that callers leave free
 	adminTimeout   = time.Minute
 )
 
--- a/internal/daemon/crowds_test.go
+++ b/internal/daemon/crowds_test.go
@@ -83,7 +83,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := crowd.Start(t, nil, binary, "--settings", file)
+	p := crowd.Start(t, nil, 0, binary, "--settings", file)
 	publishForCrowd(t, log.URL)
 	fields := " HTTP/1.1\r\nHost: " + listen + "\r\nAuthorization: Bearer " + crowdKey + "\r\n"
 	return crowdDaemon{p, crowd.Plan{
--- a/internal/fake/crowd/process.go
+++ b/internal/fake/crowd/process.go
@@ -39,9 +39,14 @@
 	return file
 }
 
-// Start starts a program, which is killed after the test.
-func Start(t *testing.T, env []string, name string, args ...string) *Process {
+// Start starts a program, which is killed after the test. It may open as many descriptors
+// as given; 0: as many as the test.
+func Start(t *testing.T, env []string, descriptors int, name string, args ...string) *Process {
 	t.Helper()
+	if descriptors > 0 {
+		args = append([]string{"-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, descriptors), name}, args...)
+		name = "/bin/sh"
+	}
 	p := &Process{cmd: exec.CommandContext(t.Context(), name, args...), ended: make(chan error, 1)}
 	p.cmd.Env = append(os.Environ(), env...)
 	if err := p.cmd.Start(); err != nil {
--- a/internal/server/limits_test.go
+++ b/internal/server/limits_test.go
@@ -56,6 +56,37 @@
 	}
 }
 
+// Guards against a flood of connections whose refusals take all descriptors: of those above
+// the limit only some wait for their refusal.
+func TestFloodOfConnectionsIsClosed(t *testing.T) {
+	const limit, flood, most = 10, 200, 40
+	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+		Limits: func() server.Limits {
+			l := testLimits()
+			l.MaxConnections = limit
+			return l
+		}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	var open int64
+	for range flood {
+		dial(t, s.Address())
+		open = max(open, s.Open())
+	}
+	if open > most {
+		t.Errorf("%d connections were open, the limit is %d", open, limit)
+	}
+	time.Sleep(time.Second) // longer than a refused connection stays open, or a caller may be silent
+	eventually(t, "served", func() bool {
+		c := dial(t, s.Address())
+		post(c, 1, 1)
+		got, _ := statusOf(c)
+		return got == http.StatusOK
+	})
+}
+
 // Guards against a caller that waits for permission to send its body until it gives
 // up.
 func TestExpectContinue(t *testing.T) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -49,9 +49,12 @@
 // idleTimeout closes a connection on which no request arrives.
 const idleTimeout = 2 * time.Minute
 
-// endingShare is the share of the limit of connections by which it may be exceeded while
-// others are being ended.
-const endingShare = 0.05
+// overflowShare is the share of the limit of connections by which it may be exceeded while
+// others are being ended, and again by those that are refused.
+const overflowShare = 0.05
+
+// leastRefusing is the least number of connections that may wait for their refusal.
+const leastRefusing = 16
 
 // lastRequestWait is how long CloseIdle waits for requests that are on their way.
 const lastRequestWait = 250 * time.Millisecond
@@ -169,7 +172,7 @@
 	}
 }
 
-// onOpen wraps a new connection in a conn, and refuses it when too many are open.
+// onOpen wraps a new connection in a conn, and refuses or closes it when too many are open.
 func (s *Server) onOpen(nc net.Conn) {
 	outer, ok := nc.(*nbhttp.Conn)
 	if !ok {
@@ -188,16 +191,22 @@
 	}
 	s.mu.Unlock()
 	limit := min(s.opts.Limits().MaxConnections, s.descriptors)
-	if open := s.openConns.Add(1); open > int64(limit) && !s.makeRoom(int(open)-limit, limit) {
+	switch excess := int(s.openConns.Add(1)) - limit; {
+	case excess <= 0 || excess <= ending(limit) && s.opts.Memory.EndStopped(freshness.Time()):
+	case excess <= ending(limit)+refusing(limit):
 		c.refused = refusal.New(refusal.TooManyConnections, "too many connections are open")
+	default:
+		c.abort()
 	}
 }
 
-// makeRoom ends a connection on which nothing is sent, so that a new one above the limit
-// is served. It reports false if there is none, or if too many are being ended.
-func (s *Server) makeRoom(excess, limit int) bool {
-	return excess <= max(1, int(endingShare*float64(limit))) && s.opts.Memory.EndStopped(freshness.Time())
-}
+// ending returns how many connections above the limit are served while others, on which
+// nothing is sent, are being ended for them.
+func ending(limit int) int { return max(1, int(overflowShare*float64(limit))) }
+
+// refusing returns how many connections above these may wait for their refusal. More are
+// closed at once: descriptors for upstreams must be left.
+func refusing(limit int) int { return max(leastRefusing, int(overflowShare*float64(limit))) }
 
 // onClose removes a connection from the server and closes it. In the blocking mode
 // nbhttp leaves the connection open after its last read.
