Make room for a connection among those of its own server

Cause: above its limit of connections a server ended the one of the whole account that had been silent for the longest time.

Evidence: TestServersMakeRoomAmongTheirOwn failed without the comparison, 2 of 2 ("status 503 on a kept connection of the other"), TestNewConnectionsEndTheQuietest too ("ended one of another owner").

Change: holdings know their owner. For memory all are still ended alike.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -89,6 +89,7 @@
 // Holding is what one connection holds.
 type Holding struct {
 	account *Account
+	owner   any                 // the server of the connection
 	end     func(Reason, State) // must not block or call the account
 	state   atomic.Int32
 	since   atomic.Int64 // time of the state or of the latest progress in it, in ns
@@ -100,9 +101,9 @@
 }
 
 // Open returns an empty holding. end is called, with the state in which its caller
-// stopped, when memory is needed elsewhere.
-func (a *Account) Open(now time.Time, end func(Reason, State)) *Holding {
-	h := &Holding{account: a, end: end}
+// stopped, when memory is needed elsewhere. owner is compared by EndStopped only.
+func (a *Account) Open(owner any, now time.Time, end func(Reason, State)) *Holding {
+	h := &Holding{account: a, owner: owner, end: end}
 	h.Progress(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -152,13 +153,13 @@
 	return ok
 }
 
-// EndStopped ends the holding whose caller has sent nothing for the longest time and
-// reports whether there was one. It makes room for a new connection.
-func (a *Account) EndStopped(now time.Time) bool {
+// EndStopped ends the owner's holding whose caller has sent nothing for the longest time
+// and reports whether there was one. It makes room for a new connection.
+func (a *Account) EndStopped(owner any, now time.Time) bool {
 	a.mu.Lock()
 	var victim *Holding
 	for h := range a.holdings {
-		if h.ended || State(h.state.Load()) != Sending || !h.stopped(now) {
+		if h.owner != owner || h.ended || State(h.state.Load()) != Sending || !h.stopped(now) {
 			continue
 		}
 		if victim == nil || h.since.Load() < victim.since.Load() {
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -19,7 +19,7 @@
 
 func open(a *Account, now time.Time) *caller {
 	c := &caller{}
-	c.Holding = a.Open(now, func(r Reason, _ State) { c.ended = append(c.ended, r) })
+	c.Holding = a.Open(nil, now, func(r Reason, _ State) { c.ended = append(c.ended, r) })
 	return c
 }
 
@@ -113,10 +113,13 @@
 func TestNewConnectionsEndTheQuietest(t *testing.T) {
 	a, now := New(0), time.Unix(1000, 0)
 	quiet, later := open(a, now), open(a, now.Add(time.Millisecond))
-	if a.EndStopped(now.Add(stalledAfter - 1)) {
+	if a.EndStopped(nil, now.Add(stalledAfter-1)) {
 		t.Error("ended one that may go on")
 	}
-	if !a.EndStopped(now.Add(2*stalledAfter)) || quiet.ended == nil || later.ended != nil {
+	if a.EndStopped("another", now.Add(2*stalledAfter)) {
+		t.Error("ended one of another owner")
+	}
+	if !a.EndStopped(nil, now.Add(2*stalledAfter)) || quiet.ended == nil || later.ended != nil {
 		t.Errorf("ended: %v, %v", quiet.ended, later.ended)
 	}
 }
--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -70,7 +70,7 @@
 		c.secure(s.opts.TLS)
 	}
 	c.in = bufio.NewReaderSize(c.Conn, readBuffer)
-	c.held = s.opts.Memory.Open(freshness.Time(), c.exhaust)
+	c.held = s.opts.Memory.Open(s, freshness.Time(), c.exhaust)
 	return c
 }
 
--- a/internal/server/limits_test.go
+++ b/internal/server/limits_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"currantpulley/internal/memory"
 	"currantpulley/internal/server"
 )
 
@@ -87,6 +88,38 @@
 	})
 }
 
+// Guards against many connections at one server of a process that close those of another.
+func TestServersMakeRoomAmongTheirOwn(t *testing.T) {
+	const limit = 10
+	a := memory.New(0)
+	start := func() *server.Server {
+		s, err := server.Start(server.Options{Address: "127.0.0.1:0", Memory: a, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+			Limits: func() server.Limits {
+				l := testLimits()
+				l.MaxConnections = limit
+				return l
+			}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		return s
+	}
+	calm, crowded := start(), start()
+	kept := dial(t, calm.Address())
+	_ = get(t, kept, "/")
+	for range limit {
+		dial(t, crowded.Address())
+	}
+	time.Sleep(time.Second) // longer than a caller may be silent when connections are short
+	if got := get(t, dial(t, crowded.Address()), "/"); got.StatusCode != http.StatusOK {
+		t.Errorf("status %d at the crowded one", got.StatusCode)
+	}
+	if got := get(t, kept, "/"); got.StatusCode != http.StatusOK {
+		t.Errorf("status %d on a kept connection of the other", got.StatusCode)
+	}
+}
+
 // Guards against a caller that waits for permission to send its body until it gives
 // up.
 func TestExpectContinue(t *testing.T) {
--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -158,10 +158,10 @@
 	if got, _ := statusOf(c); got != http.StatusOK {
 		t.Fatalf("status %d", got)
 	}
-	if a.EndStopped(began) {
+	if a.EndStopped(s, began) {
 		t.Error("a caller that sent since counts as stopped")
 	}
-	for end := time.Now().Add(time.Second); !a.EndStopped(freshness.Time().Add(time.Minute)); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(time.Second); !a.EndStopped(s, freshness.Time().Add(time.Minute)); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatal("a caller that sent nothing for a minute doesn't count as stopped")
 		}
--- a/internal/server/yield_test.go
+++ b/internal/server/yield_test.go
@@ -22,7 +22,7 @@
 	)
 	c := &conn{in: bufio.NewReaderSize(strings.NewReader(strings.Repeat(chunk, size)+"0\r\n\r\n"), readBuffer)}
 	c.chunks = httputil.NewChunkedReader(c.in)
-	c.held = memory.New(0).Open(freshness.Time(), c.exhaust)
+	c.held = memory.New(0).Open(nil, freshness.Time(), c.exhaust)
 	done := make(chan error)
 	go func() {
 		body, err := c.readChunks(size)
