--- a/internal/server/limits_test.go
+++ b/internal/server/limits_test.go
@@ -25,20 +25,31 @@
 	return c
 }
 
-// Guards against a request that runs although its connection was refused, with a
-// status that says that it didn't run.
-func TestRefusedConnectionRunsNothing(t *testing.T) {
-	var runs atomic.Int64
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }),
-		Limits: func() server.Limits {
-			l := testLimits()
-			l.MaxConnections = 1
-			return l
-		}})
+// startLimited starts a server with a limit of connections. A nil handler answers with an
+// empty response.
+func startLimited(t *testing.T, connections int, a *memory.Account, handler http.HandlerFunc) *server.Server {
+	t.Helper()
+	if handler == nil {
+		handler = func(http.ResponseWriter, *http.Request) {}
+	}
+	limits := func() server.Limits {
+		l := testLimits()
+		l.MaxConnections = connections
+		return l
+	}
+	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Memory: a, Handler: handler, Limits: limits})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.Close)
+	return s
+}
+
+// Guards against a request that runs although its connection was refused, with a
+// status that says that it didn't run.
+func TestRefusedConnectionRunsNothing(t *testing.T) {
+	var runs atomic.Int64
+	s := startLimited(t, 1, nil, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
 	dial(t, s.Address())
 	time.Sleep(20 * time.Millisecond)
 	for range 50 {
@@ -61,16 +72,7 @@
 // the limit only some wait for their refusal.
 func TestFloodOfConnectionsIsClosed(t *testing.T) {
 	const limit, flood, most = 10, 200, 40
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
-		Limits: func() server.Limits {
-			l := testLimits()
-			l.MaxConnections = limit
-			return l
-		}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
+	s := startLimited(t, limit, nil, nil)
 	var open int64
 	for range flood {
 		dial(t, s.Address())
@@ -92,20 +94,7 @@
 func TestServersMakeRoomAmongTheirOwn(t *testing.T) {
 	const limit = 10
 	a := memory.New(0)
-	start := func() *server.Server {
-		s, err := server.Start(server.Options{Address: "127.0.0.1:0", Memory: a, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
-			Limits: func() server.Limits {
-				l := testLimits()
-				l.MaxConnections = limit
-				return l
-			}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(s.Close)
-		return s
-	}
-	calm, crowded := start(), start()
+	calm, crowded := startLimited(t, limit, a, nil), startLimited(t, limit, a, nil)
 	kept := dial(t, calm.Address())
 	_ = get(t, kept, "/")
 	for range limit {
