--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -46,7 +46,7 @@
 	readError error          // of the read ahead, or of a body
 	refused   *refusal.Error // with which all requests are refused; nil: they are served
 
-	opened    bool             // see open
+	opened    bool             // open was called
 	handshake *handshakeReader // nil: no TLS
 
 	held      *memory.Holding
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -191,8 +191,10 @@
 	}
 	s.mu.Unlock()
 	limit := min(s.opts.Limits().MaxConnections, s.descriptors)
-	switch excess := int(s.openConns.Add(1)) - limit; {
-	case excess <= 0 || excess <= ending(limit) && s.opts.Memory.EndStopped(s, freshness.Time()):
+	excess := int(s.openConns.Add(1)) - limit
+	switch {
+	case excess <= 0:
+	case excess <= ending(limit) && s.opts.Memory.EndStopped(s, freshness.Time()): // it takes the place of that one
 	case excess <= ending(limit)+refusing(limit):
 		c.refused = refusal.New(refusal.TooManyConnections, "too many connections are open")
 	default:
