Don't count connections that are closed at once as open

Evidence: by reading; TestFloodOfConnectionsIsClosed could fail beside load for the same reason. Its bound stays.

TestHandshakesAreHeld no longer depends on a time of 0.3 s; the refusal over TLS has a test of its own.

Change: they are taken off the count at once.

--- a/internal/server/conn.go
+++ b/internal/server/conn.go
@@ -46,6 +46,7 @@
 	readError error          // of the read ahead, or of a body
 	refused   *refusal.Error // with which all requests are refused; nil: they are served
 
+	uncounted bool             // it was closed at once, and is not among the open connections
 	opened    bool             // open was called
 	handshake *handshakeReader // nil: no TLS
 
--- a/internal/server/handshake_test.go
+++ b/internal/server/handshake_test.go
@@ -14,21 +14,16 @@
 	"currantpulley/internal/server"
 )
 
-// startSecure starts a server with TLS and the given limit of connections.
-func startSecure(t *testing.T, connections int) (*server.Server, *memory.Account) {
+// startSecure starts a server with TLS and the given limits.
+func startSecure(t *testing.T, limits server.Limits) (*server.Server, *memory.Account) {
 	t.Helper()
 	certFile, keyFile := certificate.Write(t)
 	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
 	if err != nil {
 		t.Fatal(err)
 	}
-	limits := func() server.Limits {
-		l := testLimits()
-		l.MaxConnections = connections
-		return l
-	}
 	a := memory.New(accountBytes)
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: limits, Memory: a,
+	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Memory: a, Limits: func() server.Limits { return limits },
 		TLS:     &tls.Config{Certificates: []tls.Certificate{cert}}, //nolint:gosec // the default version
 		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
 	if err != nil {
@@ -44,10 +39,9 @@
 	return tls.Client(dial(t, address), &tls.Config{InsecureSkipVerify: true}) //nolint:gosec // a server of the test
 }
 
-// Guards against handshakes that aren't counted, or whose memory stays held, and against a
-// refusal over TLS that gets no answer.
+// Guards against handshakes that aren't counted, or whose memory stays held.
 func TestHandshakesAreHeld(t *testing.T) {
-	s, a := startSecure(t, 2)
+	s, a := startSecure(t, slowLimits())
 	half := dial(t, s.Address())
 	_, _ = half.Write([]byte{22, 3, 1, 0x40, 0, 1, 0, 0x3f, 0xfc, 3, 3}) // of a first message of 16 KB
 	eventually(t, "the handshake is held", func() bool { return a.Used() == 64<<10 })
@@ -57,9 +51,16 @@
 		t.Errorf("status %d beside half a handshake", got)
 	}
 	eventually(t, "the complete handshake is given back", func() bool { return a.Used() == 64<<10+16<<10 })
-	over := dialSecure(t, s.Address())
-	post(over, 1, 1)
-	if got, _ := statusOf(over); got != http.StatusServiceUnavailable {
+}
+
+// Guards against a connection above the limit whose refusal is lost with TLS.
+func TestRefusalOverTLS(t *testing.T) {
+	limits := slowLimits()
+	limits.MaxConnections = 0
+	s, _ := startSecure(t, limits)
+	c := dialSecure(t, s.Address())
+	post(c, 1, 1)
+	if got, _ := statusOf(c); got != http.StatusServiceUnavailable {
 		t.Errorf("status %d above the limit of connections", got)
 	}
 }
@@ -71,7 +72,7 @@
 		"long": append([]byte{22, 3, 1, 0x40, 0, 1, 0, 0xff, 0xfc}, make([]byte, 16<<10)...), // of a message of 64 KB
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, a := startSecure(t, 2)
+			s, a := startSecure(t, testLimits())
 			c := dial(t, s.Address())
 			_, _ = c.Write(sent)
 			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
--- a/internal/server/limits_test.go
+++ b/internal/server/limits_test.go
@@ -71,7 +71,7 @@
 // Guards against a flood of connections whose refusals take all descriptors: of those above
 // the limit only some wait for their refusal.
 func TestFloodOfConnectionsIsClosed(t *testing.T) {
-	const limit, flood, most = 10, 200, 40
+	const limit, flood, most = 10, 200, 40 // connections
 	s := startLimited(t, limit, nil, nil)
 	var open int64
 	for range flood {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -198,6 +198,8 @@
 	case excess <= ending(limit)+refusing(limit):
 		c.refused = refusal.New(refusal.TooManyConnections, "too many connections are open")
 	default:
+		c.uncounted = true
+		s.openConns.Add(-1)
 		c.abort()
 	}
 }
@@ -213,7 +215,6 @@
 // onClose removes a connection from the server and closes it. In the blocking mode
 // nbhttp leaves the connection open after its last read.
 func (s *Server) onClose(nc net.Conn, _ error) {
-	s.openConns.Add(-1)
 	outer, ok := nc.(*nbhttp.Conn)
 	if !ok {
 		return
@@ -221,9 +222,14 @@
 	_ = outer.Conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c := s.conns[outer]; c != nil {
-		c.held.Close()
+	c := s.conns[outer]
+	if c == nil {
+		return
+	}
+	if !c.uncounted {
+		s.openConns.Add(-1)
 	}
+	c.held.Close()
 	delete(s.conns, outer)
 }
 
