Give shared cache entries a new salt when a workspace becomes isolated

Cause: the salt of all workspaces that aren't isolated was the word "shared" and the version of the weights. A workspace that left the group left its entries in it.

Ruled out: a configuration that is applied late; the isolated workspace's own requests had their own salt by then.

Change: the group of all others is named after a digest of the isolated workspaces. Under one name entries are only made for workspaces that are not isolated while it is in use, in any series of configurations, and all daemons derive it from the configuration alone. The group is that of the configuration at each attempt, so a request that waited while its workspace was isolated keeps to itself as well.

Without isolated workspaces the salt is the same as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -123,6 +123,8 @@
 	NeedsKey   bool                  // routes that are not public need a key
 	HasQuotas  bool                  // some workspaces have quotas
 	Limits     Limits
+
+	cacheGroups cacheGroups // of the workspaces
 }
 
 // longestStream returns the longest timeout of the routes of resumable streams.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -447,13 +447,8 @@
 }
 
 // cacheGroup returns the group of workspaces that share cache entries with the
-// request's. Each isolated workspace is its own group, all others form one.
-func (q *request) cacheGroup() string {
-	if q.workspace != nil && q.workspace.Isolated {
-		return "workspace " + q.workspace.Name
-	}
-	return "shared"
-}
+// request's, by the configuration at the present attempt.
+func (q *request) cacheGroup() string { return q.snap.Config.CacheGroup(q.workspace) }
 
 // Engines know the ranks 0 to maxUrgency, the least urgent. Each rank of a
 // workspace spans routeRanks of them, one for each rank of a route.
