Save which build began a stream while several builds serve

Cause: which build began a stream was only in the memory of three owners. Where several builds ran lately nothing else tells it.

Ruled out: views of the fleet that differ after the start, and a store that answers late; the refusals name several versions.

Change: while daemons without records could not tell the builds of a route apart, the builds that began streams are saved in a topic of the store. Streams of the last minute that began before a second build came are saved when it comes.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -127,16 +127,25 @@
 	cacheGroups cacheGroups // of the workspaces
 }
 
-// longestStream returns the longest timeout of the routes of resumable streams.
-func (c *Config) longestStream() time.Duration {
-	longest := time.Duration(0)
+// ResumableRoutes returns the routes whose streams callers may resume.
+func (c *Config) ResumableRoutes() []*Route {
+	var out []*Route
 	for _, routes := range c.Routes {
 		for _, r := range routes {
 			if r.Kind == Stream && r.Resumable {
-				longest = max(longest, r.Timeout)
+				out = append(out, r)
 			}
 		}
 	}
+	return out
+}
+
+// longestStream returns the longest timeout of the routes of resumable streams.
+func (c *Config) longestStream() time.Duration {
+	longest := time.Duration(0)
+	for _, r := range c.ResumableRoutes() {
+		longest = max(longest, r.Timeout)
+	}
 	return longest
 }
 
@@ -192,6 +201,17 @@
 	return nil
 }
 
+// Services returns the names of the services that requests of the route may go to.
+func (r *Route) Services() []string {
+	var out []string
+	for _, share := range r.Shares {
+		if share.Weight > 0 {
+			out = append(out, share.Service)
+		}
+	}
+	return out
+}
+
 // PickService returns the name of the service for a request whose id hashes to
 // hash, in proportion to the weights of the shares. It returns "" when the
 // weights sum to zero.
--- a/internal/control/origins/memory.go
+++ b/internal/control/origins/memory.go
@@ -285,3 +285,14 @@
 	}
 	return true
 }
+
+// addStored adds the builds of a service that may be in the store to builds.
+func (m *memory) addStored(builds map[catalog.Build]bool, service string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for b, seenAt := range m.seenAt {
+		if b.Service == service && now.Sub(seenAt) < forgetAfter+saveAgain {
+			builds[b.Build] = true
+		}
+	}
+}
--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -7,8 +7,9 @@
 // that gets a later attempt asks the owners. A record is sent a short time after
 // the stream began; a stream whose daemon stops before is not recorded anywhere.
 // The owners also say whether all upstreams ran one build lately, since a daemon
-// that has just started does not know that itself. A store keeps the builds for the
-// case that all daemons have just started.
+// that has just started does not know that itself. For the case that all daemons have
+// just started, a store keeps the builds that upstreams ran lately and, while several
+// serve, those of the streams.
 package origins
 
 import (
@@ -59,8 +60,9 @@
 	Proof    *freshness.Proof // of the time at which the upstreams were the newest
 	// Prove makes sure that the upstreams known here were the newest at an instant, or
 	// returns an error.
-	Prove func(ctx context.Context, at freshness.Instant) error
-	Store BuildStore
+	Prove   func(ctx context.Context, at freshness.Instant) error
+	Store   BuildStore
+	Streams StreamStore
 	// Restored delivers a value after the store lost what was written since a copy.
 	Restored <-chan struct{}
 }
@@ -71,19 +73,15 @@
 	opts    Options
 	known   table
 	history history
+	streams *streamLog
+	unsaved unsaved
 
 	mu      sync.Mutex
-	pending []record // not sent yet
+	pending []StreamBuild // not sent to their owners yet
 
 	hasPending chan struct{} // holds one value after a record was added to pending
 }
 
-// record is the build that began a stream.
-type record struct {
-	stream uint64 // hash of the attempt's id
-	build  catalog.Build
-}
-
 // New returns Origins that know no stream.
 func New(o Options) *Origins {
 	m := &memory{
@@ -91,7 +89,10 @@
 		ask:     func(ctx context.Context, vm fleet.VM, b SavedBuild) error { return askToKeep(ctx, o.Pool, vm, b) },
 		savedAt: make(map[SavedBuild]time.Time), seenAt: make(map[SavedBuild]time.Time),
 	}
-	return &Origins{opts: o, hasPending: make(chan struct{}, 1), history: history{watcher: o.Watcher, proof: o.Proof, memory: m}}
+	return &Origins{
+		opts: o, hasPending: make(chan struct{}, 1), streams: newStreamLog(o.Streams),
+		history: history{watcher: o.Watcher, proof: o.Proof, memory: m},
+	}
 }
 
 // IsKept reports whether a build is known to be in the store, so that it counts as one
@@ -113,10 +114,11 @@
 // Register registers the gRPC service with server.
 func (o *Origins) Register(server *grpc.Server) { originspb.RegisterOriginsServer(server, o) }
 
-// Run sends records to their owners and keeps the builds of upstreams in the store
-// until ctx ends.
+// Run sends records to their owners and keeps the builds of upstreams and of streams in
+// the store until ctx ends.
 func (o *Origins) Run(ctx context.Context) {
 	go o.history.memory.run(ctx)
+	go o.saveStreams(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -129,10 +131,13 @@
 }
 
 // RecordBuild remembers the build that sent the first event of the stream that a
-// caller's attempt began, here at once and at the owners soon.
+// caller's attempt began, here at once, at the owners soon, and in the store if several
+// builds serve.
 func (o *Origins) RecordBuild(attempt string, b catalog.Build) {
-	r := record{rendezvous.Hash(attempt), b}
-	o.known.put(r.stream, b, time.Now())
+	r := StreamBuild{rendezvous.Hash(attempt), b}
+	now := time.Now()
+	o.known.put(r.Stream, b, now)
+	o.unsaved.add(r, now)
 	o.mu.Lock()
 	o.pending = append(o.pending, r)
 	o.mu.Unlock()
@@ -150,7 +155,7 @@
 }
 
 // takePending returns the records that were not sent yet and empties the list.
-func (o *Origins) takePending() []record {
+func (o *Origins) takePending() []StreamBuild {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	records := o.pending
@@ -159,22 +164,22 @@
 }
 
 // requestsFor returns a request for each owner of the records but this daemon.
-func (o *Origins) requestsFor(records []record) map[fleet.VM]*originspb.RecordRequest {
+func (o *Origins) requestsFor(records []StreamBuild) map[fleet.VM]*originspb.RecordRequest {
 	if len(records) == 0 {
 		return nil
 	}
 	requests := make(map[fleet.VM]*originspb.RecordRequest)
 	live := o.opts.View().Live()
 	for _, r := range records {
-		for _, vm := range owners(live, r.stream, ownersWritten) {
+		for _, vm := range owners(live, r.Stream, ownersWritten) {
 			if vm.Name == o.opts.Self {
 				continue
 			}
 			if requests[vm] == nil {
 				requests[vm] = &originspb.RecordRequest{}
 			}
-			requests[vm].Streams = append(requests[vm].Streams, r.stream)
-			requests[vm].Builds = append(requests[vm].Builds, uint32(r.build))
+			requests[vm].Streams = append(requests[vm].Streams, r.Stream)
+			requests[vm].Builds = append(requests[vm].Builds, uint32(r.Build))
 		}
 	}
 	return requests
@@ -205,8 +210,8 @@
 // FindBuild returns the build that began the stream of a caller's attempt within
 // the last window, at one of the services. It is the recorded one or, if none of
 // the daemons that may have a record has one, the only one that the services'
-// upstreams ran in that time. An empty attempt is one that the caller didn't name.
-// The error tells why the build is not known.
+// upstreams ran in that time or else the one in the store. An empty attempt is one that
+// the caller didn't name. The error tells why the build is not known.
 func (o *Origins) FindBuild(ctx context.Context, attempt string, services []string, window time.Duration) (catalog.Build, error) {
 	request := &originspb.FindRequest{Services: services, WindowMs: uint32(window.Milliseconds())}
 	if attempt != "" {
@@ -217,13 +222,43 @@
 	}
 	arrived := freshness.Now()
 	others, err := o.askOthers(ctx, request)
-	if others.build != 0 || err != nil {
-		return others.build, err
+	if others.build != 0 {
+		return others.build, nil
+	}
+	if err == nil {
+		var b catalog.Build
+		if b, err = o.findOnlyBuild(ctx, arrived, request, others); err == nil {
+			return b, nil
+		}
+	}
+	if request.GetStream() == 0 {
+		return 0, err
+	}
+	saved, savedErr := o.findSaved(ctx, request.GetStream())
+	if saved != 0 {
+		o.opts.Recorder.Record(event.Event{ID: event.StreamOriginFromStore, Step: "find origin", Detail: fmt.Sprintf("began as %q", attempt), Err: err})
+		return saved, nil
+	}
+	if savedErr == nil {
+		savedErr = errNotSaved
+	}
+	return 0, errors.Join(err, savedErr)
+}
+
+// errNotSaved: the store has no build of a stream.
+var errNotSaved = errors.New("the store has no record of the stream")
+
+// findOnlyBuild returns the only build that may have begun a stream of which no daemon
+// has a record.
+func (o *Origins) findOnlyBuild(ctx context.Context, arrived freshness.Instant, r *originspb.FindRequest, others answer) (catalog.Build, error) {
+	window := time.Duration(r.GetWindowMs()) * time.Millisecond
+	if known := o.history.builds(r.GetServices(), window); known.several {
+		return 0, known.err // no read can show less
 	}
 	if err := o.prove(ctx, arrived); err != nil {
 		return 0, err
 	}
-	return onlyBuild(o.history.builds(services, window), others)
+	return onlyBuild(o.history.builds(r.GetServices(), window), others)
 }
 
 // askOthers asks the owners of a stream for its build, or any daemons for the only one
--- a/internal/control/origins/origins_test.go
+++ b/internal/control/origins/origins_test.go
@@ -49,6 +49,7 @@
 func startNodes(t testing.TB, n int) []*node {
 	t.Helper()
 	nodes := make([]*node, n)
+	streams := &fakeStreams{}
 	var vms []fleet.VM
 	for i := range nodes {
 		server, err := peer.Listen("127.0.0.1:0", nil)
@@ -64,7 +65,8 @@
 		n := &node{vm: vm, watcher: watcher, proof: proof, stop: func() { cancel(); server.Stop() }, prove: func() error { return nil }}
 		n.Origins = New(Options{
 			Pool: pool, Self: vm.Name, Recorder: logs, View: func() fleet.View { return fleet.View{VMs: vms} },
-			Watcher: watcher, Proof: proof, Prove: func(context.Context, freshness.Instant) error { return n.prove() }, Store: &fakeStore{},
+			Watcher: watcher, Proof: proof, Prove: func(context.Context, freshness.Instant) error { return n.prove() },
+			Store: &fakeStore{}, Streams: streams,
 		})
 		n.Register(server.Server)
 		go func() { _ = server.Run(ctx) }()
--- /dev/null
+++ b/internal/control/origins/save.go
@@ -0,0 +1,187 @@
+package origins
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"currantpulley/internal/catalog"
+	"currantpulley/internal/control/origins/originspb"
+	"currantpulley/internal/event"
+	"currantpulley/internal/failure"
+	"currantpulley/internal/fleet"
+)
+
+const (
+	// saveStreamsPeriod is the time between two calls that save the builds of streams.
+	saveStreamsPeriod = 500 * time.Millisecond
+	// findSavedTimeout is the timeout of a lookup in the store, here or at the scribe.
+	findSavedTimeout = 700 * time.Millisecond
+	// scribeKey selects the scribe among the live daemons.
+	scribeKey = "scribe of streams"
+)
+
+// scribe returns the daemon that saves the builds of streams for all daemons, and looks
+// them up, if any lives.
+func scribe(live []fleet.VM) (fleet.VM, bool) {
+	first := fleet.Owners(live, scribeKey, 1)
+	if len(first) == 0 {
+		return fleet.VM{}, false
+	}
+	return first[0], true
+}
+
+// saveStreams saves the builds of streams while several builds serve, until ctx ends.
+func (o *Origins) saveStreams(ctx context.Context) {
+	ticker := time.NewTicker(saveStreamsPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		streams := o.streamsToSave(time.Now())
+		if len(streams) == 0 {
+			continue
+		}
+		if err := o.saveAtScribe(ctx, streams); err != nil {
+			o.opts.Recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "save streams", Detail: fmt.Sprintf("%d streams", len(streams)), Err: err})
+			continue
+		}
+		o.unsaved.remove(streams)
+	}
+}
+
+// streamsToSave returns the streams that began here lately, are not in the store, and
+// whose build daemons without a record can't know.
+func (o *Origins) streamsToSave(now time.Time) []StreamBuild {
+	if !o.unsaved.prune(now) {
+		return nil
+	}
+	return o.unsaved.of(o.history.ambiguous(now))
+}
+
+// ambiguous returns the builds that are not the only one of a route with resumable
+// streams, by what daemons that have just started would know.
+func (h history) ambiguous(now time.Time) map[catalog.Build]bool {
+	ambiguous := make(map[catalog.Build]bool)
+	snap := h.watcher.Load()
+	if snap.Config == nil {
+		return ambiguous
+	}
+	ofService := make(map[string][]catalog.Build)
+	for _, r := range snap.Config.ResumableRoutes() {
+		var builds []catalog.Build
+		for _, service := range r.Services() {
+			if _, known := ofService[service]; !known {
+				ofService[service] = h.possible(service, now)
+			}
+			builds = append(builds, ofService[service]...)
+		}
+		if len(builds) < 2 {
+			continue
+		}
+		for _, b := range builds {
+			ambiguous[b] = true
+		}
+	}
+	return ambiguous
+}
+
+// possible returns the builds that may have begun a stream of a service as far as daemons
+// know that have just started: those in the store, and those that upstreams run.
+func (h history) possible(service string, now time.Time) []catalog.Build {
+	builds, _ := h.watcher.BuildsOf(service, lifetime)
+	h.memory.addStored(builds, service, now)
+	out := make([]catalog.Build, 0, len(builds))
+	for b := range builds {
+		out = append(out, b)
+	}
+	return out
+}
+
+// saveAtScribe makes the scribe save builds of streams and returns once it did.
+func (o *Origins) saveAtScribe(ctx context.Context, streams []StreamBuild) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	vm, ok := scribe(o.opts.View().Live())
+	if !ok || vm.Name == o.opts.Self {
+		return o.streams.save(ctx, streams)
+	}
+	conn, err := o.opts.Pool.Conn(vm.PeerAddress)
+	if err == nil {
+		_, err = originspb.NewOriginsClient(conn).Save(ctx, saveRequest(streams))
+	}
+	if err != nil {
+		return failure.At("save streams", vm.Name, err)
+	}
+	return nil
+}
+
+// saveRequest returns the request to save builds of streams.
+func saveRequest(streams []StreamBuild) *originspb.SaveRequest {
+	r := &originspb.SaveRequest{}
+	for _, s := range streams {
+		r.Streams = append(r.Streams, s.Stream)
+		r.Builds = append(r.Builds, uint32(s.Build))
+	}
+	return r
+}
+
+// Save implements the gRPC service.
+func (o *Origins) Save(ctx context.Context, r *originspb.SaveRequest) (*originspb.SaveReply, error) {
+	if len(r.GetStreams()) != len(r.GetBuilds()) {
+		return nil, status.Error(codes.InvalidArgument, "the numbers of streams and builds differ")
+	}
+	streams := make([]StreamBuild, len(r.GetStreams()))
+	for i, stream := range r.GetStreams() {
+		streams[i] = StreamBuild{stream, catalog.Build(r.GetBuilds()[i])}
+	}
+	if err := o.streams.save(ctx, streams); err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &originspb.SaveReply{}, nil
+}
+
+// findSaved returns the build that the store has for a stream; 0: it has none. It asks
+// the scribe, and the store itself if the scribe doesn't answer.
+func (o *Origins) findSaved(ctx context.Context, stream uint64) (catalog.Build, error) {
+	vm, ok := scribe(o.opts.View().Live())
+	if ok && vm.Name != o.opts.Self {
+		if b, err := o.findAtScribe(ctx, vm, stream); err == nil {
+			return b, nil
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, findSavedTimeout)
+	defer cancel()
+	b, err := o.streams.find(ctx, stream)
+	if err != nil {
+		return b, failure.At("find stream", "store", err)
+	}
+	return b, nil
+}
+
+// findAtScribe asks the scribe for the build that the store has for a stream.
+func (o *Origins) findAtScribe(ctx context.Context, vm fleet.VM, stream uint64) (catalog.Build, error) {
+	ctx, cancel := context.WithTimeout(ctx, findSavedTimeout)
+	defer cancel()
+	conn, err := o.opts.Pool.Conn(vm.PeerAddress)
+	if err != nil {
+		return 0, err
+	}
+	reply, err := originspb.NewOriginsClient(conn).FindSaved(ctx, &originspb.FindSavedRequest{Stream: stream})
+	return catalog.Build(reply.GetBuild()), err
+}
+
+// FindSaved implements the gRPC service.
+func (o *Origins) FindSaved(ctx context.Context, r *originspb.FindSavedRequest) (*originspb.FindSavedReply, error) {
+	b, err := o.streams.find(ctx, r.GetStream())
+	if err != nil && b == 0 {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	return &originspb.FindSavedReply{Build: uint32(b)}, nil
+}
--- a/internal/control/origins/table.go
+++ b/internal/control/origins/table.go
@@ -1,6 +1,7 @@
 package origins
 
 import (
+	"cmp"
 	"sync"
 	"time"
 
@@ -11,7 +12,7 @@
 	// lifetime is the least time for which a build is remembered. Callers take a
 	// stream up before the deadline of its first attempt, which is shorter.
 	lifetime = 60 * time.Second
-	// generationMax bounds the memory of a table, which has two generations.
+	// generationMax bounds the memory of a table without a bound of its own.
 	generationMax = 1 << 15
 )
 
@@ -19,6 +20,8 @@
 // drops the older of two generations when the newer one is lifetime old or full.
 // It is safe for concurrent use.
 type table struct {
+	max int // entries of a generation; 0: generationMax
+
 	mu        sync.Mutex
 	newer     map[uint64]catalog.Build
 	older     map[uint64]catalog.Build
@@ -29,7 +32,7 @@
 func (t *table) put(stream uint64, b catalog.Build, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.newer == nil || len(t.newer) >= generationMax || now.Sub(t.rotatedAt) >= lifetime {
+	if t.newer == nil || len(t.newer) >= cmp.Or(t.max, generationMax) || now.Sub(t.rotatedAt) >= lifetime {
 		t.older, t.newer, t.rotatedAt = t.newer, make(map[uint64]catalog.Build), now
 	}
 	t.newer[stream] = b
--- a/internal/control/peers/peers.go
+++ b/internal/control/peers/peers.go
@@ -74,8 +74,9 @@
 	ProveRegistry func(ctx context.Context, at freshness.Instant) error
 	// Restored delivers a value after the store was restored from a copy.
 	Restored <-chan struct{}
-	Builds   origins.BuildStore // keeps the upstreams' builds beyond the life of all daemons
-	Feed     *feed.Feed         // of the topics that few daemons read for the others
+	Builds   origins.BuildStore  // keeps the upstreams' builds beyond the life of all daemons
+	Streams  origins.StreamStore // keeps the streams' builds beyond the life of all daemons
+	Feed     *feed.Feed          // of the topics that few daemons read for the others
 	Recorder event.Recorder
 	// Departures delivers the upstreams that this daemon has read to be leaving.
 	Departures <-chan catalog.Key
@@ -125,7 +126,8 @@
 	})
 	p.carrier, p.tunnels = p.newTunnels()
 	p.origins = origins.New(origins.Options{
-		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof, Prove: o.ProveRegistry, Store: o.Builds, Restored: o.Restored,
+		Pool: p.pool, Self: s.VM, View: p.membership.View, Recorder: r, Watcher: o.Watcher, Proof: o.RegistryProof, Prove: o.ProveRegistry,
+		Store: o.Builds, Streams: o.Streams, Restored: o.Restored,
 	})
 	p.membership.Register(p.server.Server)
 	p.exchange.Register(p.server.Server)
--- a/internal/event/membership.go
+++ b/internal/event/membership.go
@@ -21,6 +21,7 @@
 	LoadSpreadFailed      ID = 5103
 	StreamOriginNotSent   ID = 5104
 	BuildsNotStored       ID = 5105
+	StreamOriginFromStore ID = 5106
 	UsageReportFailed     ID = 5201
 	TimelineIncomplete    ID = 5301
 )
@@ -44,7 +45,8 @@
 	{UpstreamPollFailed, "upstream_poll_failed", Debug, "A poll of an upstream by the daemon that owns it failed."},
 	{LoadSpreadFailed, "load_spread_failed", Debug, "A digest of upstream loads did not reach a peer."},
 	{StreamOriginNotSent, "stream_origin_not_sent", Debug, "The builds that began streams did not reach one of the daemons that keep them; detail has their number."},
-	{BuildsNotStored, "builds_not_stored", Warn, "The builds of upstreams could not be loaded from the store or saved there; after a kill of all daemons streams may be refused."},
+	{BuildsNotStored, "builds_not_stored", Warn, "The builds of upstreams or of streams could not be loaded from the store or saved there; after a kill of all daemons streams may be refused."},
+	{StreamOriginFromStore, "stream_origin_from_store", Info, "No daemon knew which build began a stream that a caller resumes; the store did. The error tells what was tried before."},
 	{UsageReportFailed, "usage_report_failed", Warn, "A usage report did not reach the daemon that owns the workspace; limits are enforced with the last known totals."},
 	{TimelineIncomplete, "timeline_incomplete", Warn, "Some VMs did not answer a request for the timeline; detail names them."},
 }
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -48,7 +48,7 @@
 	if g.opts.Origins == nil || !q.resumesStream() {
 		return nil
 	}
-	build, err := g.opts.Origins.FindBuild(q.ctx, q.FirstAttempt, servicesOf(q.route), max(q.snap.LongestStream, q.route.Timeout))
+	build, err := g.opts.Origins.FindBuild(q.ctx, q.FirstAttempt, q.route.Services(), max(q.snap.LongestStream, q.route.Timeout))
 	if err != nil {
 		return refusal.New(refusal.OriginUnknown, "it is not known which version of the upstream began the stream").
 			WithRetryAfter(originRetryAfter).WithCause(err)
@@ -61,21 +61,10 @@
 	return nil
 }
 
-// servicesOf returns the services that requests of a route may go to.
-func servicesOf(r *catalog.Route) []string {
-	var out []string
-	for _, share := range r.Shares {
-		if share.Weight > 0 {
-			out = append(out, share.Service)
-		}
-	}
-	return out
-}
-
 // serviceOfBuild returns the service of r with an upstream that runs build, or nil
 // if there is none.
 func serviceOfBuild(snap *catalog.Snapshot, r *catalog.Route, build catalog.Build) *catalog.Service {
-	for _, name := range servicesOf(r) {
+	for _, name := range r.Services() {
 		for _, u := range snap.UpstreamsOf(name) {
 			if u.Build() == build {
 				return snap.Config.Services[name]
