Bound the lines of the heads of upstreams' responses

Tried here with an upstream that floods 300 callers in 17 ways, on a machine of 96 MB: bytes without an end are not kept, but heads of short header fields are.

Cause: net/http bounds the bytes of a response's head only (64 KB). Parsed, a field of five bytes takes over thirty times that, and a copy again when it is relayed.

Change: a connection to an upstream counts the lines of each head as they arrive, informational responses included, and fails above 256. The request's error says so.

--- a/internal/fake/crowd/crowd.go
+++ b/internal/fake/crowd/crowd.go
@@ -30,6 +30,7 @@
 	ManyFields       Kind = "many header fields"
 	HalfHandshakes   Kind = "half handshakes"                     // of TLS
 	LongModel        Kind = "prompts with a long name of a model" // whole, on a route of models
+	Whole            Kind = "whole requests"                      // whose answers are read
 	Messages         Kind = "prompts of many messages"            // whole, on a route of models
 )
 
@@ -41,6 +42,7 @@
 	farOver           = 8    // bodies far over the limit have so many times its size
 	manyFieldsCallers = 300  // at least
 	handshakeCallers  = 1000 // at least
+	wholeCallers      = 300  // at least
 	callPatience      = 5 * time.Second
 )
 
@@ -52,6 +54,7 @@
 	Head    string // request line and fields, without an end; of a request with a body
 	Long    string // the same of a request without a body whose answer is long
 	Chat    string // as Head, of a model request with messages
+	Whole   string // as Long, of a request whose answer is read
 	Target  string // host:port of the listener that the crowd calls; empty: Address
 	Body    int64  // largest legal body, in bytes
 	Header  int64  // largest legal head, in bytes
@@ -82,6 +85,8 @@
 		return max(p.Callers, manyFieldsCallers)
 	case HalfHandshakes:
 		return max(p.Callers, handshakeCallers)
+	case Whole:
+		return max(p.Callers, wholeCallers)
 	}
 	return p.Callers
 }
@@ -133,6 +138,10 @@
 		s.chunks(farOver*p.Body, largeChunk)
 	case SlowReaders:
 		s.send("%s\r\n", p.Long)
+	case Whole:
+		s.send("%s\r\n", p.Whole)
+		_ = s.SetReadDeadline(time.Now().Add(callPatience))
+		_, _ = io.Copy(io.Discard, s)
 	case HalfHeads:
 		s.send("%sX-Long: %s", p.Head, strings.Repeat("x", int(p.Header)-len(p.Head)-len("X-Long: ")))
 	case ManyFields:
--- a/internal/upstream/roundtrip.go
+++ b/internal/upstream/roundtrip.go
@@ -290,6 +290,9 @@
 	if s.broken {
 		err = ErrClosedAfterSend
 	}
+	if tracked, ok := s.conn.(*trackedConn); ok && tracked.failure() != nil {
+		err = tracked.failure()
+	}
 	return &SendError{Sent: s.sent(), Reused: s.reused, Err: err}
 }
 
--- a/internal/upstream/trackedconn.go
+++ b/internal/upstream/trackedconn.go
@@ -11,8 +11,8 @@
 var errSealed = errors.New("the connection accepts no further request")
 
 // trackedConn is a connection that tells whether bytes were written to it and which
-// requests were refused on it, and that can be closed for writes. It is safe for
-// concurrent use.
+// requests were refused on it, that bounds the lines of the heads of responses, and that
+// can be closed for writes. It is safe for concurrent use.
 type trackedConn struct {
 	net.Conn
 
@@ -23,6 +23,8 @@
 	refused refusals
 	send    *singleSend // latest request that got the connection
 	begun   bool        // a byte of that request was handed to the kernel
+	head    headLines   // of the response to that request
+	headErr error       // why the head is not read further
 }
 
 // dialTracked returns a dial function whose connections are trackedConns.
@@ -41,7 +43,7 @@
 func (c *trackedConn) begin(s *singleSend) (written int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.send, c.begun = s, false
+	c.send, c.begun, c.head = s, false, headLines{}
 	return c.written
 }
 
@@ -81,6 +83,24 @@
 	return n, err
 }
 
+// Read implements net.Conn. It fails within a head of too many lines.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headErr = c.head.read(p[:n]); c.headErr != nil {
+		return 0, c.headErr
+	}
+	return n, err
+}
+
+// failure returns why the connection is not read further; nil: it may be.
+func (c *trackedConn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headErr
+}
+
 // reserve counts n bytes as written before they are.
 func (c *trackedConn) reserve(n int) error {
 	c.mu.Lock()
