Account for what is held of events of a stream

Cause: an event was bounded by itself only, and read by a scanner that grows its buffer as it likes.

Change: the memory for an event is asked for above 16 KB, on both sides (the platform holds 64 KB at most), and a stream without it breaks off. A response that fails for want of memory here is not counted as a failure of its upstream on the platform.

--- a/internal/daemon/crowds_test.go
+++ b/internal/daemon/crowds_test.go
@@ -70,8 +70,12 @@
 	admin string // address of its admin listener
 }
 
-// startCrowdDaemon starts a daemon process with one plain service. more are settings to add.
-func startCrowdDaemon(t *testing.T, binary, more string) crowdDaemon {
+// faulty has the addresses of upstreams at fault; empty: there is none.
+type faulty struct{ service, engine string }
+
+// startCrowdDaemon starts a daemon process with one plain service, and others. more are
+// settings to add.
+func startCrowdDaemon(t *testing.T, binary, more string, others faulty) crowdDaemon {
 	t.Helper()
 	log := httptest.NewServer(fakelog.New())
 	t.Cleanup(log.Close)
@@ -84,7 +88,7 @@
 		t.Fatal(err)
 	}
 	p := crowd.Start(t, nil, 0, binary, "--settings", file)
-	publishForCrowd(t, log.URL)
+	publishForCrowd(t, log.URL, others)
 	fields := " HTTP/1.1\r\nHost: " + listen + "\r\nAuthorization: Bearer " + crowdKey + "\r\n"
 	return crowdDaemon{p, crowd.Plan{
 		Callers: crowd.Callers, Address: listen, Body: int64(crowd.BodyMB) << 20, Header: crowdHeader,
@@ -93,8 +97,8 @@
 	}, admin}
 }
 
-// publishForCrowd publishes a configuration with one plain service.
-func publishForCrowd(t *testing.T, logURL string) {
+// publishForCrowd publishes a configuration with one plain service, and upstreams at fault.
+func publishForCrowd(t *testing.T, logURL string, others faulty) {
 	t.Helper()
 	base := fmt.Sprintf("schema = 1\n[caller]\nmax_body = \"%dMiB\"\nmax_header = \"%dMiB\"\n"+
 		"[workspaces.w]\nkey_sha256 = [\"%x\"]\nrequests_per_second = 100000\n"+
@@ -102,6 +106,14 @@
 		crowd.BodyMB, crowdHeader>>20, sha256.Sum256([]byte(crowdKey)))
 	overlay := fmt.Sprintf("schema = 1\nsite = \"s\"\n[upstreams.u]\nkind = \"service\"\naddress = %q\ndata_centre = \"d\"\nservice = \"ledger\"\n",
 		crowdUpstream(t))
+	if others.service != "" {
+		base += "[routes.faulty]\npath = \"/faulty\"\nmethods = [\"POST\"]\nservice = \"faulty\"\nrepeatable = true\ntimeout = \"1500ms\"\n"
+		overlay += fmt.Sprintf("[upstreams.f]\nkind = \"service\"\naddress = %q\ndata_centre = \"d\"\nservice = \"faulty\"\n", others.service)
+	}
+	if others.engine != "" {
+		base += "[models.m]\nweights = \"w1\"\npiece_tokens = 16\n"
+		overlay += fmt.Sprintf("[upstreams.e]\nkind = \"engine\"\naddress = %q\ndata_centre = \"d\"\nmodels = [\"m\"]\n", others.engine)
+	}
 	set, err := config.Parse([]config.File{{Name: "base.toml", Data: []byte(base)}, {Name: "s.toml", Data: []byte(overlay)}})
 	if err != nil {
 		t.Fatal(err)
@@ -122,7 +134,7 @@
 	binary := crowd.Build(t)
 	for _, kind := range append(slices.Clone(crowd.Kinds), crowd.Messages, crowd.LongModel) {
 		t.Run(string(kind), func(t *testing.T) {
-			d := startCrowdDaemon(t, binary, "")
+			d := startCrowdDaemon(t, binary, "", faulty{})
 			d.plan.Kind = kind
 			crowd.Check(t, d.Process, d.plan)
 		})
@@ -136,7 +148,7 @@
 	cert, key := certificate.Write(t)
 	for _, kind := range []crowd.Kind{crowd.HalfHandshakes, crowd.Length, crowd.TinyChunks} {
 		t.Run(string(kind), func(t *testing.T) {
-			d := startCrowdDaemon(t, binary, fmt.Sprintf("[tls]\ncert = %q\nkey = %q\n", cert, key))
+			d := startCrowdDaemon(t, binary, fmt.Sprintf("[tls]\ncert = %q\nkey = %q\n", cert, key), faulty{})
 			d.plan.Kind, d.plan.TLS = kind, true
 			crowd.Check(t, d.Process, d.plan)
 		})
@@ -148,7 +160,7 @@
 	binary := crowd.Build(t)
 	for _, kind := range []crowd.Kind{crowd.Length, crowd.TinyChunks} {
 		t.Run(string(kind), func(t *testing.T) {
-			d := startCrowdDaemon(t, binary, "")
+			d := startCrowdDaemon(t, binary, "", faulty{})
 			d.plan.Kind, d.plan.Target = kind, d.admin
 			crowd.Check(t, d.Process, d.plan)
 		})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,6 +16,7 @@
 	"currantpulley/internal/failure"
 	"currantpulley/internal/freshness"
 	"currantpulley/internal/hop"
+	"currantpulley/internal/memory"
 	"currantpulley/internal/metrics"
 	"currantpulley/internal/refusal"
 	"currantpulley/internal/rendezvous"
@@ -385,7 +386,7 @@
 	if errors.As(err, &f) && f.refused {
 		outcome = balance.Busy
 	}
-	if q.ctx.Err() != nil || a.watch.stop() != nil {
+	if q.ctx.Err() != nil || a.watch.stop() != nil || errors.Is(err, memory.ErrNoRoom) {
 		outcome = balance.Cancelled
 	}
 	if outcome == balance.Failed {
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 
+	"currantpulley/internal/memory"
 	"currantpulley/internal/upstream"
 )
 
@@ -25,12 +26,13 @@
 
 // eventReader splits a stream into events without changing their bytes.
 type eventReader struct {
-	buf *bufio.Reader
-	raw []byte
+	buf  *bufio.Reader
+	raw  []byte
+	room memory.Room // for raw
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{buf: bufio.NewReaderSize(body, eventBufferBytes)}
+func newEventReader(body io.Reader, room memory.Room) *eventReader {
+	return &eventReader{buf: bufio.NewReaderSize(body, eventBufferBytes), room: room}
 }
 
 // next returns the next complete event. It returns io.EOF at the end of the
@@ -41,7 +43,10 @@
 	r.raw = r.raw[:0]
 	for {
 		line, err := r.buf.ReadSlice('\n')
-		r.raw = append(r.raw, line...)
+		var full error
+		if r.raw, full = memory.Append(r.raw, line, r.room); full != nil {
+			return e, full
+		}
 		if errors.Is(err, io.EOF) && len(r.raw) == 0 {
 			return e, io.EOF
 		}
--- a/internal/gateway/events_test.go
+++ b/internal/gateway/events_test.go
@@ -38,7 +38,7 @@
 
 // readAllEvents returns the error that ends the events in body.
 func readAllEvents(body io.Reader) error {
-	r := newEventReader(body)
+	r := newEventReader(body, func(int64) bool { return true })
 	for {
 		if _, err := r.next(); err != nil {
 			return err
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -225,7 +225,7 @@
 		return err
 	}
 	continues := q.continues()
-	events := newEventReader(a.response.Body)
+	events := newEventReader(a.response.Body, q.w.Room)
 	for first := true; ; first = false {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) && (first || !q.headSent) {
--- a/internal/memory/readahead.go
+++ b/internal/memory/readahead.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/bits"
 )
 
 const (
@@ -22,11 +23,11 @@
 func ReadAhead(r io.Reader, limit int64, room Room) (data []byte, whole bool, err error) {
 	for int64(len(data)) < limit {
 		if len(data) == cap(data) {
-			size := min(max(firstBuffer, 2*int64(cap(data))), limit)
-			if size > freeBuffer && !room(size-int64(cap(data))) {
+			larger, ok := enlarge(data, min(max(firstBuffer, 2*cap(data)), int(limit)), room)
+			if !ok {
 				return data, false, nil
 			}
-			data = append(make([]byte, 0, size), data...)
+			data = larger
 		}
 		n, err := r.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
@@ -39,3 +40,27 @@
 	}
 	return data, false, nil
 }
+
+// Append appends p to data. It returns ErrNoRoom if room says that there is no memory for
+// a larger buffer. Nobody else may use data.
+func Append(data, p []byte, room Room) ([]byte, error) {
+	if need := len(data) + len(p); need > cap(data) {
+		larger, ok := enlarge(data, max(firstBuffer, 1<<bits.Len(uint(need-1))), room)
+		if !ok {
+			return data, ErrNoRoom
+		}
+		data = larger
+	}
+	return append(data, p...), nil
+}
+
+// enlarge returns data in a buffer of size bytes, if room says that there is memory for it.
+// The old buffer is used again.
+func enlarge(data []byte, size int, room Room) ([]byte, bool) {
+	if size > freeBuffer && !room(int64(size-cap(data))) {
+		return data, false
+	}
+	larger := append(NewBuffer(int64(size)), data...)
+	DropBuffer(data)
+	return larger, true
+}
--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"runtime"
 
+	"currantpulley/internal/memory"
 	"currantpulley/internal/refusal"
 )
 
@@ -53,7 +54,7 @@
 		err = c.hold(runningBytes)
 	}
 	if err != nil {
-		dropBuffer(body)
+		memory.DropBuffer(body)
 		return nil, c.refuse(err)
 	}
 	return body[:len(body):len(body)], nil // the rest may hold another caller's bytes
@@ -65,7 +66,7 @@
 	for int64(len(body)) < n {
 		var err error
 		if body, err = c.readMore(c.in, body, n); err != nil {
-			dropBuffer(body)
+			memory.DropBuffer(body)
 			return nil, err
 		}
 	}
@@ -86,7 +87,7 @@
 			return body, c.endChunks()
 		}
 		if err != nil {
-			dropBuffer(body)
+			memory.DropBuffer(body)
 			return nil, chunkError(err)
 		}
 	}
@@ -120,8 +121,8 @@
 		if err := c.hold(size - int64(cap(body))); err != nil {
 			return body, err
 		}
-		larger := append(newBuffer(size), body...)
-		dropBuffer(body)
+		larger := append(memory.NewBuffer(size), body...)
+		memory.DropBuffer(body)
 		body = larger
 	}
 	n, err := r.Read(body[len(body):cap(body)])
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -56,12 +56,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return checkResponse(res, r.Weights, 0)
+	return checkResponse(ctx, res, r.Weights, 0)
 }
 
 // checkResponse checks that res was computed with the expected weights, and turns the
 // body of a stream into events after the event numbered after.
-func checkResponse(res *Response, weights string, after uint64) (*Response, error) {
+func checkResponse(ctx context.Context, res *Response, weights string, after uint64) (*Response, error) {
 	if res.Status != http.StatusOK {
 		return res, nil
 	}
@@ -70,7 +70,7 @@
 		return nil, &SendError{Sent: true, Err: fmt.Errorf("%w: %q instead of %q", ErrWrongWeights, res.Weights, weights)}
 	}
 	if strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
-		res.Events = NewEvents(res.Body, after)
+		res.Events = NewEvents(res.Body, after, roomOf(ctx))
 		res.Body = nil
 	}
 	return res, nil
@@ -91,7 +91,7 @@
 		res.Close()
 		return nil, fmt.Errorf("%w: status %d", ErrStreamNotFound, res.Status)
 	}
-	return checkResponse(res, "", after)
+	return checkResponse(ctx, res, "", after)
 }
 
 // Cancel implements Engine.
--- a/internal/upstream/room.go
+++ b/internal/upstream/room.go
@@ -9,8 +9,8 @@
 // roomKey is the key of the Room in a context.
 type roomKey struct{}
 
-// WithRoom makes the requests sent with the context ask room before much is held of a large
-// head of their responses.
+// WithRoom makes the requests sent with the context ask room before much is held of their
+// responses: of a large head, and of events.
 func WithRoom(ctx context.Context, room memory.Room) context.Context {
 	return context.WithValue(ctx, roomKey{}, room)
 }
--- a/internal/upstream/sse.go
+++ b/internal/upstream/sse.go
@@ -8,10 +8,16 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"currantpulley/internal/memory"
 )
 
-// maxEventBytes is the maximum size of one event of a stream.
-const maxEventBytes = 4 << 20
+const (
+	// maxEventBytes is the maximum size of one event of a stream.
+	maxEventBytes = 4 << 20
+	// lineBufferBytes is the size of the buffer in which most lines of a stream fit.
+	lineBufferBytes = 4 << 10
+)
 
 // errorEventName is the name of the event by which an engine reports that a
 // stream failed.
@@ -24,7 +30,7 @@
 type Event struct {
 	ID   uint64 // 0: the event has none
 	Name string
-	Data []byte // valid until the next call of Next
+	Data []byte // valid until the next call of Next or Close
 }
 
 // Final reports whether the event ends the stream.
@@ -34,31 +40,39 @@
 // called again after it returned an error.
 type Events struct {
 	body    io.ReadCloser
-	scanner *bufio.Scanner
+	buf     *bufio.Reader
+	room    memory.Room // for line and data
 	lastID  uint64
 	resumed bool // the stream began in another response
 	final   bool
+	line    []byte // that is longer than buf
 	data    []byte
 }
 
 // NewEvents returns a reader of the events in body. Events with ids up to after
-// are skipped.
-func NewEvents(body io.ReadCloser, after uint64) *Events {
-	s := bufio.NewScanner(body)
-	s.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
-	return &Events{body: body, scanner: s, lastID: after, resumed: after > 0}
+// are skipped. It asks room before it holds much.
+func NewEvents(body io.ReadCloser, after uint64, room memory.Room) *Events {
+	return &Events{
+		body: body, buf: bufio.NewReaderSize(body, lineBufferBytes), room: room,
+		lastID: after, resumed: after > 0,
+	}
 }
 
-// Close closes the body.
-func (e *Events) Close() { _ = e.body.Close() }
+// Close closes the body. The data of events is not valid after it.
+func (e *Events) Close() {
+	_ = e.body.Close()
+	memory.DropBuffer(e.line)
+	memory.DropBuffer(e.data)
+	e.line, e.data = nil, nil
+}
 
 // Last returns the id of the last event that Next returned. Before the first
 // event with an id it returns the argument after of NewEvents.
 func (e *Events) Last() uint64 { return e.lastID }
 
 // Next returns the next event, skipping repeated ones. Its errors are io.EOF
-// after the final event, ErrTruncated, ErrGap, ErrTooLong, ErrMalformed and
-// ErrEngineFailed.
+// after the final event, ErrTruncated, ErrGap, ErrTooLong, ErrMalformed, ErrEngineFailed
+// and memory.ErrNoRoom.
 func (e *Events) Next() (Event, error) {
 	if e.final {
 		return Event{}, io.EOF
@@ -100,8 +114,11 @@
 	var ev Event
 	lines := 0
 	e.data = e.data[:0]
-	for e.scanner.Scan() {
-		line := e.scanner.Bytes()
+	for {
+		line, err := e.readLine()
+		if err != nil {
+			return ev, err
+		}
 		if len(line) > 0 {
 			if err := e.parseField(&ev, line, &lines); err != nil {
 				return ev, err
@@ -113,7 +130,37 @@
 			return ev, nil
 		}
 	}
-	return ev, e.endError()
+}
+
+// readLine returns the next line without its end. The end of the body alone is an error,
+// since a complete stream ends with its final event.
+func (e *Events) readLine() ([]byte, error) {
+	e.line = e.line[:0]
+	for {
+		part, err := e.buf.ReadSlice('\n')
+		if err == nil && len(e.line) == 0 {
+			return trimLine(part), nil
+		}
+		var full error
+		if e.line, full = memory.Append(e.line, part, e.room); full != nil {
+			return nil, full
+		}
+		switch {
+		case len(e.line) > maxEventBytes:
+			return nil, ErrTooLong
+		case err == nil:
+			return trimLine(e.line), nil
+		case errors.Is(err, io.EOF):
+			return nil, ErrTruncated
+		case !errors.Is(err, bufio.ErrBufferFull):
+			return nil, fmt.Errorf("%w: %w", ErrTruncated, err)
+		}
+	}
+}
+
+// trimLine returns line without its end.
+func trimLine(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 }
 
 // parseField parses one line of an event into ev and counts data lines in lines.
@@ -123,14 +170,7 @@
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "data":
-		if *lines > 0 {
-			e.data = append(e.data, '\n')
-		}
-		*lines++
-		e.data = append(e.data, value...)
-		if len(e.data) > maxEventBytes {
-			return ErrTooLong
-		}
+		return e.addData(value, lines)
 	case "event":
 		ev.Name = string(value)
 	case "id":
@@ -143,15 +183,18 @@
 	return nil
 }
 
-// endError returns why the body has no further event. The end of the body alone
-// is an error, since a complete stream ends with its final event.
-func (e *Events) endError() error {
-	err := e.scanner.Err()
-	if errors.Is(err, bufio.ErrTooLong) {
+// addData adds the value of a data line to the event's data.
+func (e *Events) addData(value []byte, lines *int) error {
+	if len(e.data)+len(value) > maxEventBytes {
 		return ErrTooLong
 	}
-	if err != nil {
-		return fmt.Errorf("%w: %w", ErrTruncated, err)
+	var err error
+	if *lines > 0 {
+		e.data, err = memory.Append(e.data, []byte{'\n'}, e.room)
+	}
+	if err == nil {
+		e.data, err = memory.Append(e.data, value, e.room)
 	}
-	return ErrTruncated
+	*lines++
+	return err
 }
--- a/internal/upstream/sse_test.go
+++ b/internal/upstream/sse_test.go
@@ -5,11 +5,13 @@
 	"io"
 	"strings"
 	"testing"
+
+	"currantpulley/internal/memory"
 )
 
 // readAll returns the data of all events in body and the error that ended them.
 func readAll(body string, after uint64) (got []string, err error) {
-	e := NewEvents(io.NopCloser(strings.NewReader(body)), after)
+	e := NewEvents(io.NopCloser(strings.NewReader(body)), after, alwaysRoom)
 	for {
 		ev, err := e.Next()
 		if err != nil {
@@ -58,7 +60,7 @@
 	f.Add("id: 3\ndata: 3\n\nid: 3\ndata: 3\n\n", uint64(2))
 	f.Add(": c\r\nevent: x\r\ndata\r\n\r\n", uint64(7))
 	f.Fuzz(func(t *testing.T, body string, after uint64) {
-		e := NewEvents(io.NopCloser(strings.NewReader(body)), after)
+		e := NewEvents(io.NopCloser(strings.NewReader(body)), after, alwaysRoom)
 		last, final := after, false
 		for {
 			ev, err := e.Next()
@@ -81,12 +83,40 @@
 func TestResumedStreamGoesOnWithNumberedEvents(t *testing.T) {
 	const unnumbered = "data: {}\n\n"
 	for after, want := range map[uint64]error{0: nil, 1: ErrMalformed} {
-		if _, err := NewEvents(io.NopCloser(strings.NewReader(unnumbered)), after).Next(); !errors.Is(err, want) {
+		if _, err := NewEvents(io.NopCloser(strings.NewReader(unnumbered)), after, alwaysRoom).Next(); !errors.Is(err, want) {
 			t.Errorf("after %d: %v, want %v", after, err, want)
 		}
 	}
 	const failed = "event: error\ndata: {}\n\n"
-	if _, err := NewEvents(io.NopCloser(strings.NewReader(failed)), 1).Next(); !errors.Is(err, ErrEngineFailed) {
+	if _, err := NewEvents(io.NopCloser(strings.NewReader(failed)), 1, alwaysRoom).Next(); !errors.Is(err, ErrEngineFailed) {
 		t.Errorf("error event: %v", err)
 	}
 }
+
+// Guards against events that fill a machine's memory, each of legal size: what is held of
+// them is asked for, and a stream fails without it.
+func TestEventsAskForRoom(t *testing.T) {
+	const held = 256 << 10 // of the largest event that fits
+	for name, body := range map[string]string{
+		"a line":        "data: " + strings.Repeat("y", maxEventBytes),
+		"many lines":    strings.Repeat("data: y\n", maxEventBytes/2),
+		"another field": "other: " + strings.Repeat("y", maxEventBytes),
+	} {
+		granted := int64(0)
+		room := func(n int64) bool {
+			if granted+n > held {
+				return false
+			}
+			granted += n
+			return true
+		}
+		e := NewEvents(io.NopCloser(strings.NewReader(body)), 0, room)
+		if _, err := e.Next(); !errors.Is(err, memory.ErrNoRoom) {
+			t.Errorf("%s: %v", name, err)
+		}
+		if got := cap(e.line) + cap(e.data); granted == 0 || int64(got) > held+64<<10 {
+			t.Errorf("%s: %d bytes are held, %d were granted", name, got, granted)
+		}
+		e.Close()
+	}
+}
