--- a/internal/upstream/headlines.go
+++ b/internal/upstream/headcounter.go
@@ -16,9 +16,9 @@
 // errHeadTooLong is the error of a response whose head has too many lines.
 var errHeadTooLong = fmt.Errorf("%w: its head has more than %d lines", ErrTooLong, maxHeadLines)
 
-// headLines counts the lines and bytes of the head of one response as they arrive, before
+// headCounter counts the lines and bytes of the head of one response as they arrive, before
 // the head is parsed. The zero value is at the beginning of a response.
-type headLines struct {
+type headCounter struct {
 	bytes int64
 	held  int64 // bytes of memory that the head takes
 
@@ -34,7 +34,7 @@
 
 // read takes the next bytes of the connection and returns the memory that the head takes
 // beyond what it took before. It returns an error if the head has too many lines.
-func (h *headLines) read(p []byte) (more int64, err error) {
+func (h *headCounter) read(p []byte) (more int64, err error) {
 	if h.ended {
 		return 0, nil
 	}
@@ -47,7 +47,7 @@
 }
 
 // countLines counts the lines in p up to the end of the head.
-func (h *headLines) countLines(p []byte) error {
+func (h *headCounter) countLines(p []byte) error {
 	for !h.ended {
 		part, rest, whole := bytes.Cut(p, []byte{'\n'})
 		h.bytes += int64(len(p) - len(rest))
@@ -65,7 +65,7 @@
 }
 
 // endLine takes note of the line that ended.
-func (h *headLines) endLine() {
+func (h *headCounter) endLine() {
 	text := strings.TrimSuffix(string(h.line), "\r")
 	h.line = h.line[:0]
 	switch {
--- a/internal/upstream/headlines_test.go
+++ b/internal/upstream/headcounter_test.go
@@ -39,7 +39,7 @@
 		"blank lines":                         {strings.Repeat("\r\n", 2*maxHeadLines), true},
 	} {
 		for _, size := range []int{1, 7, 4096, 1 << 20} {
-			var h headLines
+			var h headCounter
 			var err error
 			r := iotest.OneByteReader(strings.NewReader(tc.response))
 			if size > 1 {
--- a/internal/upstream/trackedconn.go
+++ b/internal/upstream/trackedconn.go
@@ -26,7 +26,7 @@
 	refused refusals
 	send    *singleSend // latest request that got the connection
 	begun   bool        // a byte of that request was handed to the kernel
-	head    headLines   // of the response to that request
+	head    headCounter // of the response to that request
 	headErr error       // why the head is not read further
 }
 
@@ -46,7 +46,7 @@
 func (c *trackedConn) begin(s *singleSend) (written int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.send, c.begun, c.head = s, false, headLines{}
+	c.send, c.begun, c.head = s, false, headCounter{}
 	return c.written
 }
 
