Split package origins by what a newcomer looks for

The type that keeps builds in the store was called memory, as the package with the account of memory is; it is savedBuilds. The daemon that writes the builds of streams for all is called the writer. Moves and names only; the tests of the package pass.

--- a/internal/control/origins/history.go
+++ b/internal/control/origins/history.go
@@ -17,7 +17,7 @@
 type history struct {
 	watcher *catalog.Watcher
 	proof   *freshness.Proof // of the upstreams
-	memory  *memory
+	saved   *savedBuilds
 }
 
 // buildsKnown is what a daemon knows of the builds of several services.
@@ -47,7 +47,7 @@
 	for _, service := range services {
 		builds, all := h.watcher.BuildsOf(service, window)
 		seen += len(builds)
-		if !all && !h.memory.add(builds, service) {
+		if !all && !h.saved.add(builds, service) {
 			k.err = fmt.Errorf("the upstreams of service %s are known for less than %v, and no earlier ones were loaded", service, window)
 		}
 		for b := range builds {
--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -17,7 +17,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -38,16 +37,8 @@
 const (
 	// recordPeriod is the time for which records are collected before they are
 	// sent. It bounds how many streams are not known if their daemon stops.
-	recordPeriod  = 25 * time.Millisecond
-	recordTimeout = 300 * time.Millisecond
-	findTimeout   = 200 * time.Millisecond
-	proveTimeout  = 500 * time.Millisecond
-	// ownersWritten is the number of owners of a stream. It is not lost unless all
-	// of them stop.
-	ownersWritten = 3
-	// ownersAsked is greater, since the views of the fleet at the time of the record
-	// and now may differ by daemons that joined.
-	ownersAsked = 5
+	recordPeriod = 25 * time.Millisecond
+	proveTimeout = 500 * time.Millisecond
 )
 
 // Options holds the dependencies of Origins. All fields are required.
@@ -84,20 +75,20 @@
 
 // New returns Origins that know no stream.
 func New(o Options) *Origins {
-	m := &memory{
+	saved := &savedBuilds{
 		store: o.Store, watcher: o.Watcher, recorder: o.Recorder, self: o.Self, view: o.View, restored: o.Restored,
 		ask:     func(ctx context.Context, vm fleet.VM, b SavedBuild) error { return askToKeep(ctx, o.Pool, vm, b) },
 		savedAt: make(map[SavedBuild]time.Time), seenAt: make(map[SavedBuild]time.Time),
 	}
 	return &Origins{
 		opts: o, hasPending: make(chan struct{}, 1), streams: newStreamLog(o.Streams),
-		history: history{watcher: o.Watcher, proof: o.Proof, memory: m},
+		history: history{watcher: o.Watcher, proof: o.Proof, saved: saved},
 	}
 }
 
 // IsKept reports whether a build is known to be in the store, so that it counts as one
 // that may have begun a stream also after a kill of all daemons.
-func (o *Origins) IsKept(b catalog.Build) bool { return o.history.memory.isKept(b) }
+func (o *Origins) IsKept(b catalog.Build) bool { return o.history.saved.isKept(b) }
 
 // askToKeep makes another daemon save a build.
 func askToKeep(ctx context.Context, pool *peer.Pool, vm fleet.VM, b SavedBuild) error {
@@ -117,7 +108,7 @@
 // Run sends records to their owners and keeps the builds of upstreams and of streams in
 // the store until ctx ends.
 func (o *Origins) Run(ctx context.Context) {
-	go o.history.memory.run(ctx)
+	go o.history.saved.run(ctx)
 	go o.saveStreams(ctx)
 	for {
 		select {
@@ -147,66 +138,6 @@
 	}
 }
 
-// sendPending sends the records that were not sent yet, in one call for each owner.
-func (o *Origins) sendPending(ctx context.Context) {
-	for vm, request := range o.requestsFor(o.takePending()) {
-		go o.send(ctx, vm, request)
-	}
-}
-
-// takePending returns the records that were not sent yet and empties the list.
-func (o *Origins) takePending() []StreamBuild {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	records := o.pending
-	o.pending = nil
-	return records
-}
-
-// requestsFor returns a request for each owner of the records but this daemon.
-func (o *Origins) requestsFor(records []StreamBuild) map[fleet.VM]*originspb.RecordRequest {
-	if len(records) == 0 {
-		return nil
-	}
-	requests := make(map[fleet.VM]*originspb.RecordRequest)
-	live := o.opts.View().Live()
-	for _, r := range records {
-		for _, vm := range owners(live, r.Stream, ownersWritten) {
-			if vm.Name == o.opts.Self {
-				continue
-			}
-			if requests[vm] == nil {
-				requests[vm] = &originspb.RecordRequest{}
-			}
-			requests[vm].Streams = append(requests[vm].Streams, r.Stream)
-			requests[vm].Builds = append(requests[vm].Builds, uint32(r.Build))
-		}
-	}
-	return requests
-}
-
-// owners returns the up to n daemons that own a stream.
-func owners(live []fleet.VM, stream uint64, n int) []fleet.VM {
-	return fleet.Owners(live, strconv.FormatUint(stream, 16), n)
-}
-
-// send sends records to one owner. A failure is only recorded: the other owners
-// have them too.
-func (o *Origins) send(ctx context.Context, vm fleet.VM, request *originspb.RecordRequest) {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	conn, err := o.opts.Pool.Conn(vm.PeerAddress)
-	if err == nil {
-		_, err = originspb.NewOriginsClient(conn).Record(ctx, request)
-	}
-	if err != nil {
-		o.opts.Recorder.Record(event.Event{
-			ID: event.StreamOriginNotSent, Peer: vm.Name, Step: "record origins",
-			Detail: fmt.Sprintf("%d streams", len(request.GetStreams())), Err: failure.At("record origins", vm.Name, err),
-		})
-	}
-}
-
 // FindBuild returns the build that began the stream of a caller's attempt within
 // the last window, at one of the services. It is the recorded one or, if none of
 // the daemons that may have a record has one, the only one that the services'
@@ -301,78 +232,12 @@
 	return 0, errors.Join(own.err, errors.New("no other daemon knows the upstreams for long enough"))
 }
 
-// askOwners sends r to the owners of a stream. It returns the first recorded build
-// or, if none of them has one, what they know of the only build that upstreams ran,
-// and an error if some did not answer.
-func (o *Origins) askOwners(ctx context.Context, stream uint64, r *originspb.FindRequest) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, findTimeout)
-	defer cancel()
-	answers := make(chan answer, ownersAsked)
-	asked := 0
-	for _, vm := range owners(o.opts.View().Live(), stream, ownersAsked) {
-		if vm.Name == o.opts.Self {
-			continue
-		}
-		asked++
-		go func() { answers <- o.ask(ctx, vm, r) }()
-	}
-	var result answer
-	var failures []error
-	for range asked {
-		a := <-answers
-		if a.build != 0 {
-			return a, nil
-		}
-		result.several = result.several || a.several || (a.only != 0 && result.only != 0 && a.only != result.only)
-		result.only = max(result.only, a.only)
-		failures = append(failures, a.err)
-	}
-	return result, errors.Join(failures...)
-}
-
-// answer is the answer of one owner, or of all.
-type answer struct {
-	build   catalog.Build // recorded; 0: none
-	only    catalog.Build // the only one that upstreams ran; 0: there are several or not all are known
-	several bool          // an owner knows several, or the owners know different ones
-	err     error
-}
-
-// ask asks one owner for the build of a stream.
-func (o *Origins) ask(ctx context.Context, vm fleet.VM, r *originspb.FindRequest) answer {
-	conn, err := o.opts.Pool.Conn(vm.PeerAddress)
-	if err != nil {
-		return answer{err: err}
-	}
-	reply, err := originspb.NewOriginsClient(conn).Find(ctx, r)
-	if err != nil {
-		return answer{err: failure.At("find origin", vm.Name, err)}
-	}
-	return answer{build: catalog.Build(reply.GetBuild()), only: catalog.Build(reply.GetOnlyBuild()), several: reply.GetSeveral()}
-}
-
-// Record implements the gRPC service.
-func (o *Origins) Record(_ context.Context, r *originspb.RecordRequest) (*originspb.RecordReply, error) {
-	now := time.Now()
-	builds := r.GetBuilds()
-	for i, stream := range r.GetStreams()[:min(len(r.GetStreams()), len(builds))] {
-		o.known.put(stream, catalog.Build(builds[i]), now)
-	}
-	return &originspb.RecordReply{}, nil
-}
-
-// Find implements the gRPC service.
-func (o *Origins) Find(_ context.Context, r *originspb.FindRequest) (*originspb.FindReply, error) {
-	known := o.history.builds(r.GetServices(), time.Duration(r.GetWindowMs())*time.Millisecond)
-	return &originspb.FindReply{Build: uint32(o.known.get(r.GetStream())), OnlyBuild: uint32(known.sure()), Several: known.seen}, nil
-}
-
 // Keep implements the gRPC service.
 func (o *Origins) Keep(ctx context.Context, r *originspb.KeepRequest) (*originspb.KeepReply, error) {
 	if r.GetBuild() == 0 || r.GetService() == "" {
 		return nil, status.Error(codes.InvalidArgument, "service or build is missing")
 	}
-	if !o.history.memory.keep(ctx, SavedBuild{r.GetService(), catalog.Build(r.GetBuild())}) {
+	if !o.history.saved.keep(ctx, SavedBuild{r.GetService(), catalog.Build(r.GetBuild())}) {
 		return nil, status.Error(codes.Unavailable, "the store did not save the build")
 	}
 	return &originspb.KeepReply{}, nil
--- a/internal/control/origins/origins_test.go
+++ b/internal/control/origins/origins_test.go
@@ -278,7 +278,7 @@
 	nodes := startNodes(t, 4)
 	shared := &fakeStore{builds: make(map[SavedBuild]bool)}
 	for _, n := range nodes {
-		n.history.memory.store = shared
+		n.history.saved.store = shared
 		n.putUpstream("a", "v1")
 		n.putUpstream("b", "v2")
 	}
@@ -288,7 +288,7 @@
 		now = now.Add(after)
 		shared.saves = 0
 		for _, n := range nodes {
-			n.history.memory.saveChanges(t.Context(), now)
+			n.history.saved.saveChanges(t.Context(), now)
 		}
 		if len(shared.builds) != builds || shared.saves != saves {
 			t.Errorf("%s: %d builds after %d saves, want %d after %d", what, len(shared.builds), shared.saves, builds, saves)
@@ -329,14 +329,14 @@
 			nodes := startNodes(t, 4)
 			shared := &fakeStore{builds: make(map[SavedBuild]bool), err: tc.err}
 			for _, n := range nodes {
-				n.history.memory.store = shared
+				n.history.saved.store = shared
 				n.putUpstream("a", "v1")
-				if m := n.history.memory; tc.inChargeOut && m.isInCharge(m.view().Live(), b) {
+				if m := n.history.saved; tc.inChargeOut && m.isInCharge(m.view().Live(), b) {
 					n.stop()
 				}
 			}
 			for _, n := range nodes {
-				m := n.history.memory
+				m := n.history.saved
 				if tc.inChargeOut && m.isInCharge(m.view().Live(), b) {
 					continue
 				}
@@ -357,21 +357,21 @@
 	nodes := startNodes(t, 3)
 	shared := &fakeStore{builds: make(map[SavedBuild]bool)}
 	for _, n := range nodes {
-		n.history.memory.store = shared
+		n.history.saved.store = shared
 		n.putUpstream("a", "v1")
-		n.history.memory.keepAll(t.Context())
+		n.history.saved.keepAll(t.Context())
 	}
 	clear(shared.builds)
 	shared.saves = 0
 	for _, n := range nodes {
-		n.history.memory.forgetKept()
+		n.history.saved.forgetKept()
 	}
 	b := catalog.BuildOf(testService, "v1")
 	if nodes[0].IsKept(b) {
 		t.Error("a build that the store has lost counts as kept")
 	}
 	for _, n := range nodes {
-		n.history.memory.keepAll(t.Context())
+		n.history.saved.keepAll(t.Context())
 		if !n.IsKept(b) {
 			t.Errorf("%s: the build is not kept", n.vm.Name)
 		}
@@ -384,16 +384,16 @@
 // A build that no upstream runs any more must not count as kept when it is deleted.
 func TestDeletedBuildIsNotKept(t *testing.T) {
 	n := startNodes(t, 1)[0]
-	n.history.memory.store = &fakeStore{builds: make(map[SavedBuild]bool)}
+	n.history.saved.store = &fakeStore{builds: make(map[SavedBuild]bool)}
 	n.putUpstream("a", "v1")
 	now := time.Now()
-	n.history.memory.saveChanges(t.Context(), now)
+	n.history.saved.saveChanges(t.Context(), now)
 	b := catalog.BuildOf(testService, "v1")
 	if !n.IsKept(b) {
 		t.Error("a saved build is not kept")
 	}
 	n.watcher.RemoveUpstream("a")
-	n.history.memory.saveChanges(t.Context(), now.Add(keptFor))
+	n.history.saved.saveChanges(t.Context(), now.Add(keptFor))
 	if n.IsKept(b) {
 		t.Error("a build without upstreams is kept until it is deleted")
 	}
--- a/internal/control/origins/save.go
+++ b/internal/control/origins/save.go
@@ -18,16 +18,16 @@
 const (
 	// saveStreamsPeriod is the time between two calls that save the builds of streams.
 	saveStreamsPeriod = 500 * time.Millisecond
-	// findSavedTimeout is the timeout of a lookup in the store, here or at the scribe.
+	// findSavedTimeout is the timeout of a lookup in the store, here or at the writer.
 	findSavedTimeout = 700 * time.Millisecond
-	// scribeKey selects the scribe among the live daemons.
-	scribeKey = "scribe of streams"
+	// writerKey selects the writer among the live daemons.
+	writerKey = "writer of streams"
 )
 
-// scribe returns the daemon that saves the builds of streams for all daemons, and looks
+// writer returns the daemon that saves the builds of streams for all daemons, and looks
 // them up, if any lives.
-func scribe(live []fleet.VM) (fleet.VM, bool) {
-	first := fleet.Owners(live, scribeKey, 1)
+func writer(live []fleet.VM) (fleet.VM, bool) {
+	first := fleet.Owners(live, writerKey, 1)
 	if len(first) == 0 {
 		return fleet.VM{}, false
 	}
@@ -48,7 +48,7 @@
 		if len(streams) == 0 {
 			continue
 		}
-		if err := o.saveAtScribe(ctx, streams); err != nil {
+		if err := o.saveAtWriter(ctx, streams); err != nil {
 			o.opts.Recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "save streams", Detail: fmt.Sprintf("%d streams", len(streams)), Err: err})
 			continue
 		}
@@ -96,7 +96,7 @@
 // know that have just started: those in the store, and those that upstreams run.
 func (h history) possible(service string, now time.Time) []catalog.Build {
 	builds, _ := h.watcher.BuildsOf(service, lifetime)
-	h.memory.addStored(builds, service, now)
+	h.saved.addStored(builds, service, now)
 	out := make([]catalog.Build, 0, len(builds))
 	for b := range builds {
 		out = append(out, b)
@@ -104,11 +104,11 @@
 	return out
 }
 
-// saveAtScribe makes the scribe save builds of streams and returns once it did.
-func (o *Origins) saveAtScribe(ctx context.Context, streams []StreamBuild) error {
+// saveAtWriter makes the writer save builds of streams and returns once it did.
+func (o *Origins) saveAtWriter(ctx context.Context, streams []StreamBuild) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	vm, ok := scribe(o.opts.View().Live())
+	vm, ok := writer(o.opts.View().Live())
 	if !ok || vm.Name == o.opts.Self {
 		return o.streams.save(ctx, streams)
 	}
@@ -148,11 +148,11 @@
 }
 
 // findSaved returns the build that the store has for a stream; 0: it has none. It asks
-// the scribe, and the store itself if the scribe doesn't answer.
+// the writer, and the store itself if the writer doesn't answer.
 func (o *Origins) findSaved(ctx context.Context, stream uint64) (catalog.Build, error) {
-	vm, ok := scribe(o.opts.View().Live())
+	vm, ok := writer(o.opts.View().Live())
 	if ok && vm.Name != o.opts.Self {
-		if b, err := o.findAtScribe(ctx, vm, stream); err == nil {
+		if b, err := o.findAtWriter(ctx, vm, stream); err == nil {
 			return b, nil
 		}
 	}
@@ -165,8 +165,8 @@
 	return b, nil
 }
 
-// findAtScribe asks the scribe for the build that the store has for a stream.
-func (o *Origins) findAtScribe(ctx context.Context, vm fleet.VM, stream uint64) (catalog.Build, error) {
+// findAtWriter asks the writer for the build that the store has for a stream.
+func (o *Origins) findAtWriter(ctx context.Context, vm fleet.VM, stream uint64) (catalog.Build, error) {
 	ctx, cancel := context.WithTimeout(ctx, findSavedTimeout)
 	defer cancel()
 	conn, err := o.opts.Pool.Conn(vm.PeerAddress)
--- a/internal/control/origins/save_test.go
+++ b/internal/control/origins/save_test.go
@@ -81,7 +81,7 @@
 	if len(streams) == 0 {
 		return nil
 	}
-	err := n.saveAtScribe(t.Context(), streams)
+	err := n.saveAtWriter(t.Context(), streams)
 	if err == nil {
 		n.unsaved.remove(streams)
 	}
@@ -126,7 +126,7 @@
 		"the other version left, and is still in the store": {
 			func(nodes []*node) {
 				for _, n := range nodes {
-					m := n.history.memory
+					m := n.history.saved
 					m.seenAt[SavedBuild{testService, catalog.BuildOf(testService, "v0")}] = time.Now().Add(-forgetAfter / 2)
 				}
 			}, func([]*node) {}, true,
@@ -169,7 +169,7 @@
 // also while the daemon that looks them up doesn't answer.
 func TestSavedStreamsAreFound(t *testing.T) {
 	const streams = 5*fakePage + 7
-	for name, scribeOut := range map[string]bool{"scribe answers": false, "scribe is away": true} {
+	for name, writerOut := range map[string]bool{"writer answers": false, "writer is away": true} {
 		t.Run(name, func(t *testing.T) {
 			nodes := startNodes(t, 4)
 			configure(nodes, 1, testService)
@@ -185,15 +185,15 @@
 				}
 			}
 			nodes = restartedWith(t, nodes, "v1", "v2")
-			vm, _ := scribe(nodes[0].opts.View().Live())
+			vm, _ := writer(nodes[0].opts.View().Live())
 			for _, n := range nodes {
-				if scribeOut && n.vm == vm {
+				if writerOut && n.vm == vm {
 					n.stop()
 				}
 			}
 			for i := range streams {
 				n := nodes[i%4]
-				if scribeOut && n.vm == vm {
+				if writerOut && n.vm == vm {
 					continue
 				}
 				if b, err := n.find(t, strconv.Itoa(i)); b != builds[i%2] || err != nil {
--- a/internal/control/origins/savedbuilds.go
+++ b/internal/control/origins/savedbuilds.go
@@ -49,9 +49,9 @@
 	Save(ctx context.Context, b SavedBuild, kept bool) error
 }
 
-// memory keeps the builds of all upstreams in a BuildStore. Of each build one daemon
+// savedBuilds keeps the builds of all upstreams in a BuildStore. Of each build one daemon
 // is in charge, which the others ask to save it.
-type memory struct {
+type savedBuilds struct {
 	store    BuildStore
 	watcher  *catalog.Watcher
 	recorder event.Recorder
@@ -70,17 +70,17 @@
 }
 
 // run loads the builds, then saves changes until ctx ends.
-func (m *memory) run(ctx context.Context) {
+func (s *savedBuilds) run(ctx context.Context) {
 	started := time.Now()
 	ticker := time.NewTicker(savePeriod)
 	defer ticker.Stop()
 	for {
-		changed := m.watcher.Changed()
+		changed := s.watcher.Changed()
 		maySave := time.Since(started) >= saveDelay
-		if m.loaded.Load() == nil {
-			m.load(ctx)
+		if s.loaded.Load() == nil {
+			s.load(ctx)
 		}
-		if !maySave || !m.keepAll(ctx) {
+		if !maySave || !s.keepAll(ctx) {
 			changed = nil // the next try waits
 		}
 		select {
@@ -88,42 +88,42 @@
 			return
 		case <-ticker.C:
 			if maySave {
-				m.saveChanges(ctx, time.Now())
+				s.saveChanges(ctx, time.Now())
 			}
 		case <-changed:
 			time.Sleep(changePause)
-		case <-m.restored:
-			m.forgetKept()
+		case <-s.restored:
+			s.forgetKept()
 		}
 	}
 }
 
 // load reads the builds that were known when this daemon started.
-func (m *memory) load(ctx context.Context) {
+func (s *savedBuilds) load(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	builds, err := m.store.Load(ctx)
+	builds, err := s.store.Load(ctx)
 	if err != nil {
-		m.recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "load builds", Err: failure.At("load builds", "store", err)})
+		s.recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "load builds", Err: failure.At("load builds", "store", err)})
 		return
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	loaded := make(map[SavedBuild]bool, len(builds))
 	kept := make(map[catalog.Build]bool, len(builds))
 	for _, b := range builds {
 		loaded[b], kept[b.Build] = true, true
-		m.seenAt[b] = time.Now()
+		s.seenAt[b] = time.Now()
 	}
-	m.kept.Store(&kept)
-	m.loaded.Store(&loaded)
+	s.kept.Store(&kept)
+	s.loaded.Store(&loaded)
 }
 
 // running returns the builds that upstreams run, but for those of services that are not
 // configured.
-func (m *memory) running() map[SavedBuild]bool {
+func (s *savedBuilds) running() map[SavedBuild]bool {
 	builds := make(map[SavedBuild]bool)
-	snap := m.watcher.Load()
+	snap := s.watcher.Load()
 	for _, u := range snap.Upstreams {
 		if snap.Config == nil || snap.Config.Services[u.Service] != nil {
 			builds[SavedBuild{u.Service, u.Build()}] = true
@@ -133,116 +133,116 @@
 }
 
 // isKept reports whether a build is known to be in the store.
-func (m *memory) isKept(b catalog.Build) bool {
-	kept := m.kept.Load()
+func (s *savedBuilds) isKept(b catalog.Build) bool {
+	kept := s.kept.Load()
 	return kept != nil && (*kept)[b]
 }
 
-// setKept notes whether a build is in the store. m.mu is held.
-func (m *memory) setKept(b catalog.Build, isKept bool) {
+// setKept notes whether a build is in the store. s.mu is held.
+func (s *savedBuilds) setKept(b catalog.Build, isKept bool) {
 	kept := make(map[catalog.Build]bool)
-	if known := m.kept.Load(); known != nil {
+	if known := s.kept.Load(); known != nil {
 		kept = maps.Clone(*known)
 	}
 	delete(kept, b)
 	if isKept {
 		kept[b] = true
 	}
-	m.kept.Store(&kept)
+	s.kept.Store(&kept)
 }
 
 // forgetKept makes all builds count as not kept, so that those that the store has lost
 // are saved again.
-func (m *memory) forgetKept() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.kept.Store(nil)
-	clear(m.savedAt)
+func (s *savedBuilds) forgetKept() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kept.Store(nil)
+	clear(s.savedAt)
 }
 
 // keepAll gets each build that an upstream runs and that is not known to be in the
 // store saved, by the daemon in charge or, if that fails, by this one. It reports
 // whether all are there now.
-func (m *memory) keepAll(ctx context.Context) bool {
-	live := m.view().Live()
+func (s *savedBuilds) keepAll(ctx context.Context) bool {
+	live := s.view().Live()
 	all := true
-	for b := range m.running() {
-		if m.isKept(b.Build) {
+	for b := range s.running() {
+		if s.isKept(b.Build) {
 			continue
 		}
-		asked := !m.isInCharge(live, b) && m.askInCharge(ctx, live, b)
-		all = (asked || m.keep(ctx, b)) && all
+		asked := !s.isInCharge(live, b) && s.askInCharge(ctx, live, b)
+		all = (asked || s.keep(ctx, b)) && all
 	}
 	return all
 }
 
 // askInCharge asks the daemon in charge of b to save it and reports whether it did.
-func (m *memory) askInCharge(ctx context.Context, live []fleet.VM, b SavedBuild) bool {
+func (s *savedBuilds) askInCharge(ctx context.Context, live []fleet.VM, b SavedBuild) bool {
 	vm, ok := inCharge(live, b)
 	if !ok {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := m.ask(ctx, vm, b); err != nil {
-		m.recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "keep build", Peer: vm.Name, Err: err})
+	if err := s.ask(ctx, vm, b); err != nil {
+		s.recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "keep build", Peer: vm.Name, Err: err})
 		return false
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.setKept(b.Build, true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setKept(b.Build, true)
 	return true
 }
 
 // keep saves a build unless it is known to be in the store, and reports whether it is
 // there now.
-func (m *memory) keep(ctx context.Context, b SavedBuild) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
+func (s *savedBuilds) keep(ctx context.Context, b SavedBuild) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := time.Now()
-	m.seenAt[b] = now
-	if m.isKept(b.Build) {
+	s.seenAt[b] = now
+	if s.isKept(b.Build) {
 		return true
 	}
-	if !m.save(ctx, b, true) {
+	if !s.save(ctx, b, true) {
 		return false
 	}
-	m.savedAt[b] = now
-	m.setKept(b.Build, true)
+	s.savedAt[b] = now
+	s.setKept(b.Build, true)
 	return true
 }
 
 // saveChanges saves the builds that this daemon is in charge of and that are new or
 // were saved long ago, and deletes those that no upstream has run for long.
-func (m *memory) saveChanges(ctx context.Context, now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for b := range m.running() {
-		m.seenAt[b] = now
+func (s *savedBuilds) saveChanges(ctx context.Context, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for b := range s.running() {
+		s.seenAt[b] = now
 	}
-	live := m.view().Live()
-	for b, seenAt := range m.seenAt {
+	live := s.view().Live()
+	for b, seenAt := range s.seenAt {
 		unseen := now.Sub(seenAt)
-		if unseen >= keptFor && m.isKept(b.Build) {
-			m.setKept(b.Build, false)
+		if unseen >= keptFor && s.isKept(b.Build) {
+			s.setKept(b.Build, false)
 		}
 		switch {
 		case unseen >= forgetAfter:
-			m.forget(ctx, live, b)
-		case m.isInCharge(live, b) && now.Sub(m.savedAt[b]) >= saveAgain && m.save(ctx, b, true):
-			m.savedAt[b] = now
-			m.setKept(b.Build, unseen < keptFor)
+			s.forget(ctx, live, b)
+		case s.isInCharge(live, b) && now.Sub(s.savedAt[b]) >= saveAgain && s.save(ctx, b, true):
+			s.savedAt[b] = now
+			s.setKept(b.Build, unseen < keptFor)
 		}
 	}
 }
 
-// forget deletes a build, if this daemon is in charge of it. m.mu is held.
-func (m *memory) forget(ctx context.Context, live []fleet.VM, b SavedBuild) {
-	if !m.isInCharge(live, b) || !m.save(ctx, b, false) {
+// forget deletes a build, if this daemon is in charge of it. s.mu is held.
+func (s *savedBuilds) forget(ctx context.Context, live []fleet.VM, b SavedBuild) {
+	if !s.isInCharge(live, b) || !s.save(ctx, b, false) {
 		return
 	}
-	delete(m.seenAt, b)
-	delete(m.savedAt, b)
+	delete(s.seenAt, b)
+	delete(s.savedAt, b)
 }
 
 // inCharge returns the daemon that saves b, if any lives.
@@ -255,26 +255,26 @@
 }
 
 // isInCharge reports whether this daemon saves b.
-func (m *memory) isInCharge(live []fleet.VM, b SavedBuild) bool {
+func (s *savedBuilds) isInCharge(live []fleet.VM, b SavedBuild) bool {
 	vm, ok := inCharge(live, b)
-	return ok && vm.Name == m.self
+	return ok && vm.Name == s.self
 }
 
 // save saves or deletes a build and reports whether that succeeded.
-func (m *memory) save(ctx context.Context, b SavedBuild, kept bool) bool {
+func (s *savedBuilds) save(ctx context.Context, b SavedBuild, kept bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	err := m.store.Save(ctx, b, kept)
+	err := s.store.Save(ctx, b, kept)
 	if err != nil {
-		m.recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "save builds", Err: failure.At("save builds", "store", err)})
+		s.recorder.Record(event.Event{ID: event.BuildsNotStored, Step: "save builds", Err: failure.At("save builds", "store", err)})
 	}
 	return err == nil
 }
 
 // add adds the builds of a service that were known at the start to builds, and
 // reports whether they were loaded.
-func (m *memory) add(builds map[catalog.Build]bool, service string) bool {
-	loaded := m.loaded.Load()
+func (s *savedBuilds) add(builds map[catalog.Build]bool, service string) bool {
+	loaded := s.loaded.Load()
 	if loaded == nil {
 		return false
 	}
@@ -287,10 +287,10 @@
 }
 
 // addStored adds the builds of a service that may be in the store to builds.
-func (m *memory) addStored(builds map[catalog.Build]bool, service string, now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for b, seenAt := range m.seenAt {
+func (s *savedBuilds) addStored(builds map[catalog.Build]bool, service string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for b, seenAt := range s.seenAt {
 		if b.Service == service && now.Sub(seenAt) < forgetAfter+saveAgain {
 			builds[b.Build] = true
 		}
--- a/internal/control/origins/streamlog.go
+++ b/internal/control/origins/streamlog.go
@@ -23,7 +23,7 @@
 )
 
 // streamLog writes and reads the builds of streams in a StreamStore. Of all daemons one
-// does so for the others, see scribe. It is safe for concurrent use.
+// does so for the others, see writer. It is safe for concurrent use.
 type streamLog struct {
 	store StreamStore
 	saved table // builds that are known to be in the store
