--- a/internal/fake/crowd/check.go
+++ b/internal/fake/crowd/check.go
@@ -55,6 +55,20 @@
 		n, err := p.Descriptors()
 		return err == nil && n <= before+spareDescriptors
 	})
+	checkProcess(t, p)
+}
+
+// CheckCalm checks that p answers an ordinary request, lives and has stayed within the
+// memory of its machine.
+func CheckCalm(t *testing.T, p *Process, plan Plan) {
+	t.Helper()
+	eventually(t, "answered", func() bool { return plan.Ask(1) == http.StatusOK })
+	checkProcess(t, p)
+}
+
+// checkProcess checks that p lives and has stayed within the memory of its machine.
+func checkProcess(t *testing.T, p *Process) {
+	t.Helper()
 	if ended, err := p.Ended(); ended {
 		t.Fatalf("the process ended: %v", err)
 	}
