Bound what is held of engines' states together

Cause: a state, the answer to an order and cache events are bounded one by one, and all engines are polled at once.

Change: what exceeds 16 KB of these bodies takes from a budget of 16 MB, and the buffers are used again. A call without room fails as one whose response is too long; the next poll asks again.

--- a/internal/daemon/crowds_test.go
+++ b/internal/daemon/crowds_test.go
@@ -71,7 +71,10 @@
 }
 
 // faulty has the addresses of upstreams at fault; empty: there is none.
-type faulty struct{ service, engine string }
+type faulty struct {
+	service string
+	engines []string
+}
 
 // startCrowdDaemon starts a daemon process with one plain service, and others. more are
 // settings to add.
@@ -110,9 +113,11 @@
 		base += "[routes.faulty]\npath = \"/faulty\"\nmethods = [\"POST\"]\nservice = \"faulty\"\nrepeatable = true\ntimeout = \"1500ms\"\n"
 		overlay += fmt.Sprintf("[upstreams.f]\nkind = \"service\"\naddress = %q\ndata_centre = \"d\"\nservice = \"faulty\"\n", others.service)
 	}
-	if others.engine != "" {
+	if len(others.engines) > 0 {
 		base += "[models.m]\nweights = \"w1\"\npiece_tokens = 16\n"
-		overlay += fmt.Sprintf("[upstreams.e]\nkind = \"engine\"\naddress = %q\ndata_centre = \"d\"\nmodels = [\"m\"]\n", others.engine)
+	}
+	for i, address := range others.engines {
+		overlay += fmt.Sprintf("[upstreams.e%d]\nkind = \"engine\"\naddress = %q\ndata_centre = \"d\"\nmodels = [\"m\"]\n", i, address)
 	}
 	set, err := config.Parse([]config.File{{Name: "base.toml", Data: []byte(base)}, {Name: "s.toml", Data: []byte(overlay)}})
 	if err != nil {
--- a/internal/daemon/floods_test.go
+++ b/internal/daemon/floods_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,33 @@
 	return fmt.Sprintf("%sContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
 }
 
+// Guards against engines at fault that end the process which polls them, many of them at
+// once: their states without an end filled its memory.
+func TestFloodsOfStatesEndNoProcess(t *testing.T) {
+	const engines, polls = 40, 80
+	binary := crowd.Build(t)
+	for _, kind := range flood.Kinds {
+		t.Run(string(kind), func(t *testing.T) {
+			var polled atomic.Int64
+			var all faulty
+			for range engines {
+				all.engines = append(all.engines, startFaulty(t, func(w http.ResponseWriter, r *http.Request) {
+					polled.Add(1)
+					flood.Answer(w, r, kind, http.StatusOK, "X-Request-Id: "+r.Header.Get("X-Request-Id")+"\r\n")
+				}))
+			}
+			d := startCrowdDaemon(t, binary, "", all)
+			for end := time.Now().Add(time.Minute); polled.Load() < polls && time.Now().Before(end); {
+				time.Sleep(10 * time.Millisecond)
+			}
+			if got := polled.Load(); got < polls {
+				t.Errorf("%d polls within a minute, want %d", got, polls)
+			}
+			crowd.CheckCalm(t, d.Process, d.plan)
+		})
+	}
+}
+
 // Guards against upstreams at fault that end a process: bytes without an end, in a head
 // or in a body, filled its memory.
 func TestFloodsOfUpstreamsEndNoProcess(t *testing.T) {
@@ -67,7 +95,7 @@
 				crowd.Check(t, d.Process, d.plan)
 			})
 			t.Run("engine", func(t *testing.T) {
-				d := startCrowdDaemon(t, binary, "", faulty{engine: startFaultyEngine(t, kind)})
+				d := startCrowdDaemon(t, binary, "", faulty{engines: []string{startFaultyEngine(t, kind)}})
 				d.plan.Kind, d.plan.Whole = crowd.Whole, faultyRequest(d, "/v1/completions", `{"model":"m","prompt":"p","max_tokens":10,"stream":true}`)
 				crowd.Check(t, d.Process, d.plan)
 			})
--- a/internal/httpbody/httpbody.go
+++ b/internal/httpbody/httpbody.go
@@ -38,11 +38,11 @@
 	if res.ContentLength > limit {
 		return nil, fmt.Errorf("%w: %d of at most %d bytes", ErrTooLong, res.ContentLength, limit)
 	}
-	return ReadAll(res.Body, limit)
+	return readAll(res.Body, limit)
 }
 
-// ReadAll returns all of r, which is at most limit bytes long.
-func ReadAll(r io.Reader, limit int64) ([]byte, error) {
+// readAll returns all of r, which is at most limit bytes long.
+func readAll(r io.Reader, limit int64) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
 		return nil, err
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"currantpulley/internal/httpbody"
+	"currantpulley/internal/memory"
 )
 
 // Header fields of the engine API.
@@ -29,15 +30,22 @@
 	effectNotRun    = "not-run"
 )
 
-// maxControlBytes limits the responses to state, order and cache event calls.
-const maxControlBytes = 4 << 20
+const (
+	// maxControlBytes limits the responses to state, order and cache event calls.
+	maxControlBytes = 4 << 20
+	// controlBudget limits what is held of all these responses together.
+	controlBudget = 16 << 20
+)
 
 // HTTPEngine implements Engine with the HTTP/1.1 API described in docs/API.md.
-type HTTPEngine struct{ transport http.RoundTripper }
+type HTTPEngine struct {
+	transport http.RoundTripper
+	control   *memory.Budget // for the bodies of responses to control calls
+}
 
 // NewHTTPEngine returns an HTTPEngine that sends its requests over transport.
 func NewHTTPEngine(transport http.RoundTripper) *HTTPEngine {
-	return &HTTPEngine{transport: transport}
+	return &HTTPEngine{transport: transport, control: memory.NewBudget(controlBudget)}
 }
 
 // Open implements Engine.
@@ -147,10 +155,16 @@
 		return err
 	}
 	defer res.Close()
-	data, err := httpbody.ReadAll(res.Body, maxControlBytes)
+	part := e.control.Open()
+	defer part.Close()
+	data, whole, err := memory.ReadAhead(res.Body, maxControlBytes+1, part.Room)
+	defer memory.DropBuffer(data)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrTruncated, err)
 	}
+	if !whole {
+		return fmt.Errorf("%w: a control call got over %d bytes", ErrTooLong, len(data))
+	}
 	if refuses(res.Status) {
 		return &StatusError{Status: res.Status, Message: strings.TrimSpace(string(data))}
 	}
