Split the search for the build of a stream

What daemons know and what the store knows are two functions; which builds are ambiguous stands with the history that tells it.

--- a/internal/control/origins/history.go
+++ b/internal/control/origins/history.go
@@ -61,3 +61,42 @@
 	}
 	return k
 }
+
+// ambiguous returns the builds that are not the only one of a route with resumable
+// streams, by what daemons that have just started would know.
+func (h history) ambiguous(now time.Time) map[catalog.Build]bool {
+	ambiguous := make(map[catalog.Build]bool)
+	snap := h.watcher.Load()
+	if snap.Config == nil {
+		return ambiguous
+	}
+	ofService := make(map[string][]catalog.Build)
+	for _, r := range snap.Config.ResumableRoutes() {
+		var builds []catalog.Build
+		for _, service := range r.Services() {
+			if _, known := ofService[service]; !known {
+				ofService[service] = h.possible(service, now)
+			}
+			builds = append(builds, ofService[service]...)
+		}
+		if len(builds) < 2 {
+			continue
+		}
+		for _, b := range builds {
+			ambiguous[b] = true
+		}
+	}
+	return ambiguous
+}
+
+// possible returns the builds that may have begun a stream of a service as far as daemons
+// know that have just started: those in the store, and those that upstreams run.
+func (h history) possible(service string, now time.Time) []catalog.Build {
+	builds, _ := h.watcher.BuildsOf(service, lifetime)
+	h.saved.addStored(builds, service, now)
+	out := make([]catalog.Build, 0, len(builds))
+	for b := range builds {
+		out = append(out, b)
+	}
+	return out
+}
--- a/internal/control/origins/origins.go
+++ b/internal/control/origins/origins.go
@@ -13,6 +13,7 @@
 package origins
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -148,37 +149,35 @@
 	if attempt != "" {
 		request.Stream = rendezvous.Hash(attempt)
 	}
-	if b := o.known.get(request.GetStream()); b != 0 {
-		return b, nil
-	}
-	arrived := freshness.Now()
-	others, err := o.askOthers(ctx, request)
-	if others.build != 0 {
-		return others.build, nil
-	}
-	if err == nil {
-		var b catalog.Build
-		if b, err = o.findOnlyBuild(ctx, arrived, request, others); err == nil {
-			return b, nil
-		}
-	}
-	if request.GetStream() == 0 {
-		return 0, err
+	b, err := o.findAtDaemons(ctx, request)
+	if err == nil || attempt == "" {
+		return b, err
 	}
 	saved, savedErr := o.findSaved(ctx, request.GetStream())
-	if saved != 0 {
-		o.opts.Recorder.Record(event.Event{ID: event.StreamOriginFromStore, Step: "find origin", Detail: fmt.Sprintf("began as %q", attempt), Err: err})
-		return saved, nil
+	if saved == 0 {
+		return 0, errors.Join(err, cmp.Or(savedErr, errNotSaved))
 	}
-	if savedErr == nil {
-		savedErr = errNotSaved
-	}
-	return 0, errors.Join(err, savedErr)
+	o.opts.Recorder.Record(event.Event{ID: event.StreamOriginFromStore, Step: "find origin", Detail: fmt.Sprintf("began as %q", attempt), Err: err})
+	return saved, nil
 }
 
 // errNotSaved: the store has no build of a stream.
 var errNotSaved = errors.New("the store has no record of the stream")
 
+// findAtDaemons returns the build that a daemon has recorded for a stream, or else the only
+// one that may have begun it.
+func (o *Origins) findAtDaemons(ctx context.Context, r *originspb.FindRequest) (catalog.Build, error) {
+	if b := o.known.get(r.GetStream()); b != 0 {
+		return b, nil
+	}
+	arrived := freshness.Now()
+	others, err := o.askOthers(ctx, r)
+	if others.build != 0 || err != nil {
+		return others.build, err
+	}
+	return o.findOnlyBuild(ctx, arrived, r, others)
+}
+
 // findOnlyBuild returns the only build that may have begun a stream of which no daemon
 // has a record.
 func (o *Origins) findOnlyBuild(ctx context.Context, arrived freshness.Instant, r *originspb.FindRequest, others answer) (catalog.Build, error) {
