--- a/internal/server/cut_test.go
+++ b/internal/server/cut_test.go
@@ -17,15 +17,11 @@
 func startCounting(t *testing.T) (address string, refused *atomic.Int64) {
 	t.Helper()
 	refused = new(atomic.Int64)
-	s, err := server.Start(server.Options{
-		Address: "127.0.0.1:0", Limits: slowLimits,
-		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+	s := startWith(t, server.Options{
+		Limits:  slowLimits,
+		Handler: http.HandlerFunc(doNothing),
 		Refused: func(string, *refusal.Error) { refused.Add(1) },
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
 	return s.Address(), refused
 }
 
--- a/internal/server/handshake_test.go
+++ b/internal/server/handshake_test.go
@@ -23,13 +23,9 @@
 		t.Fatal(err)
 	}
 	a := memory.New(accountBytes)
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Memory: a, Limits: func() server.Limits { return limits },
+	s := startWith(t, server.Options{Memory: a, Limits: func() server.Limits { return limits },
 		TLS:     &tls.Config{Certificates: []tls.Certificate{cert}}, //nolint:gosec // the default version
-		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
+		Handler: http.HandlerFunc(doNothing)})
 	return s, a
 }
 
--- a/internal/server/limits_test.go
+++ b/internal/server/limits_test.go
@@ -37,11 +37,7 @@
 		l.MaxConnections = connections
 		return l
 	}
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Memory: a, Handler: handler, Limits: limits})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
+	s := startWith(t, server.Options{Memory: a, Handler: handler, Limits: limits})
 	return s
 }
 
--- a/internal/server/memory_test.go
+++ b/internal/server/memory_test.go
@@ -24,11 +24,7 @@
 func startAccounted(t *testing.T, handler http.HandlerFunc, record func(event.Event)) (*server.Server, *memory.Account) {
 	t.Helper()
 	a := memory.New(accountBytes)
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: slowLimits, Handler: handler, Memory: a, Record: record})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
+	s := startWith(t, server.Options{Limits: slowLimits, Handler: handler, Memory: a, Record: record})
 	return s, a
 }
 
@@ -127,16 +123,12 @@
 
 // Guards against connections that send nothing and keep new callers out.
 func TestSilentConnectionsMakeRoom(t *testing.T) {
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
+	s := startWith(t, server.Options{Handler: http.HandlerFunc(doNothing),
 		Limits: func() server.Limits {
 			l := slowLimits()
 			l.MaxConnections = 10
 			return l
 		}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
 	for range 10 {
 		dial(t, s.Address())
 	}
@@ -179,12 +171,8 @@
 		l.MaxHeader = 1 << 20
 		return l
 	}
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: limits, Memory: a,
+	s := startWith(t, server.Options{Limits: limits, Memory: a,
 		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { held.Store(a.Used()) })})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
 	for _, tc := range []struct{ fields, want int }{
 		{16 << 10 / len(short), http.StatusOK},
 		{16<<10 - 1, http.StatusOK},
@@ -209,12 +197,7 @@
 		l.MaxHeader = 2 * size
 		return l
 	}
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: limits,
-		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
+	s := startWith(t, server.Options{Limits: limits, Handler: http.HandlerFunc(doNothing)})
 	for field, want := range map[string]int{
 		"Trailer: a\r\n":           http.StatusOK,
 		"Content-Length: 0\r\n":    http.StatusBadRequest,
@@ -235,16 +218,12 @@
 
 // BenchmarkRequest measures a small request and its answer over a kept connection.
 func BenchmarkRequest(b *testing.B) {
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: slowLimits,
+	s := startWith(b, server.Options{Limits: slowLimits,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = server.ReadBody(r)
 			w.Header().Set("Content-Length", "1")
 			_, _ = w.Write([]byte("x"))
 		})})
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer s.Close()
 	c, err := net.Dial("tcp", s.Address())
 	if err != nil {
 		b.Fatal(err)
--- a/internal/server/pipeline_test.go
+++ b/internal/server/pipeline_test.go
@@ -56,16 +56,12 @@
 func TestLastResponseSurvivesEarlyRequests(t *testing.T) {
 	const size = 1 << 20
 	for _, early := range []int{0, 1, 200} {
-		s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: testLimits, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s := startWith(t, server.Options{Limits: testLimits, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			if sw, ok := w.(*server.Writer); ok {
 				sw.CloseAfter()
 			}
 			_, _ = w.Write(make([]byte, size))
 		})})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(s.Close)
 		c := dial(t, s.Address())
 		_, _ = io.WriteString(c, second)
 		time.Sleep(20 * time.Millisecond) // the kernel has accepted the response by now
--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -173,11 +173,7 @@
 func startRecording(t *testing.T, limits func() server.Limits) (string, *seen) {
 	t.Helper()
 	s := &seen{}
-	srv, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: limits, Handler: recording(s)})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(srv.Close)
+	srv := startWith(t, server.Options{Limits: limits, Handler: recording(s)})
 	return srv.Address(), s
 }
 
--- a/internal/server/responses_test.go
+++ b/internal/server/responses_test.go
@@ -98,7 +98,7 @@
 func TestCutStreamToHTTP10IsReset(t *testing.T) {
 	for _, cut := range []string{"abort", "close"} {
 		written := make(chan struct{})
-		s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: testLimits, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := startWith(t, server.Options{Limits: testLimits, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.WriteString(w, "event 0\n")
 			close(written)
 			time.Sleep(20 * time.Millisecond)
@@ -107,10 +107,6 @@
 			}
 			<-r.Context().Done()
 		})})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(s.Close)
 		c := dial(t, s.Address())
 		_, _ = io.WriteString(c, "GET / HTTP/1.0\r\nHost: h\r\n\r\n")
 		<-written
--- a/internal/server/server_test.go
+++ b/internal/server/server_test.go
@@ -16,18 +16,13 @@
 
 func startServer(t *testing.T, h http.HandlerFunc) net.Conn {
 	t.Helper()
-	s, err := server.Start(server.Options{
-		Address: "127.0.0.1:0",
+	s := startWith(t, server.Options{
 		Limits: func() server.Limits {
 			return server.Limits{MaxBody: 1 << 20, MaxHeader: 1 << 14, MaxConnections: 10,
 				ReadTimeout: time.Second, WriteTimeout: testWriteTimeout}
 		},
 		Handler: h,
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
 	c, err := net.Dial("tcp", s.Address())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/server/stop_test.go
+++ b/internal/server/stop_test.go
@@ -70,14 +70,10 @@
 	const rounds, callers = 10, 40
 	lost := atomic.Int64{}
 	for round := range rounds {
-		s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: slowLimits, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s := startWith(t, server.Options{Limits: slowLimits, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			w.Header().Set("Path", r.URL.Path)
 			_, _ = io.WriteString(w, "x")
 		})})
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(s.Close)
 		var wg sync.WaitGroup
 		var closed atomic.Pointer[time.Time]
 		for i := range callers {
@@ -107,11 +103,7 @@
 // Guards against a connection without requests that keeps the server waiting, and
 // against one whose request is being read and that is cut.
 func TestCloseIdleClosesIdleConnections(t *testing.T) {
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: slowLimits, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
+	s := startWith(t, server.Options{Limits: slowLimits, Handler: http.HandlerFunc(doNothing)})
 	idle, reading, used := dial(t, s.Address()), dial(t, s.Address()), dial(t, s.Address())
 	_, _ = io.WriteString(reading, second[:len(second)-2])
 	get(t, used, "/")
@@ -146,14 +138,10 @@
 // request came before the stop.
 func TestResponsesInProgressAnnounceTheEnd(t *testing.T) {
 	entered, release := make(chan struct{}), make(chan struct{})
-	s, err := server.Start(server.Options{Address: "127.0.0.1:0", Limits: testLimits, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+	s := startWith(t, server.Options{Limits: testLimits, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
 		close(entered)
 		<-release
 	})})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
 	c := dial(t, s.Address())
 	_, _ = io.WriteString(c, second)
 	<-entered
