Wait for the calls of a test before its servers answer

The test was wrong: at its end it cancelled its calls and let their servers answer at once, so that a call could return the answer in place of the cancellation; nor did it wait for the calls, whose errors it checks. It waits for them now, cancelled, before the servers answer: each call must end by the cancellation, as before, and all are seen to.

--- a/internal/detour/transport_test.go
+++ b/internal/detour/transport_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -240,6 +241,8 @@
 		servers = append(servers, s)
 	}
 	t.Cleanup(func() { f.own.CloseIdleConnections() })
+	var calls sync.WaitGroup
+	defer calls.Wait() // before the servers answer
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	for _, s := range servers {
@@ -247,12 +250,12 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		go func() {
+		calls.Go(func() {
 			_, err := f.RoundTrip(req) //nolint:bodyclose // there is none
 			if !errors.Is(err, context.Canceled) {
 				t.Errorf("error %v", err)
 			}
-		}()
+		})
 	}
 	time.Sleep(50 * time.Millisecond) // for the requests to be sent
 	f.cut.Store(true)
